The thin whole path: entry, agents and stand-ins as separate processes

A chat completion and a plain-service call go from a caller through an entry and the agent beside the chosen target, and the answer comes back. Core decisions are state machines (core/gate, core/offer, core/route, core/conf); io connects them to HTTP, drpc and the platform.

Seen: platform, two engines, a service, three agents and an entry started one by one by their commands from examples/local; SSE and JSON answers came back whole; a second submission of a service call under one id was answered 409 with ran yes; SIGTERM ended all with status 0.

--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,13 @@
+// Command standin runs a stand-in engine, plain service or platform as a process
+// of its own, for trying kingcupstand out on one machine. See standin --help.
+package main
+
+import (
+	"os"
+
+	"kingcupstand/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Standin(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/core/call/ending.go
@@ -0,0 +1,41 @@
+package call
+
+import "time"
+
+// Ending is the last word on a request. Every accepted request gets exactly one.
+type Ending struct {
+	// Whole is true if the caller got the target's whole answer.
+	Whole bool
+	// Ran says whether the request was dispatched. It is RanYes if Whole.
+	Ran Ran
+	// Reason says why the answer is not whole.
+	Reason Reason
+	// RetryAfter is when a new submission has a chance, or 0 if waiting does not help.
+	RetryAfter time.Duration
+}
+
+// Answered returns the ending of a request whose whole answer was delivered.
+func Answered() Ending {
+	return Ending{Whole: true, Ran: RanYes}
+}
+
+// NotRun returns the ending of a request that was never dispatched.
+func NotRun(r Reason) Ending {
+	return Ending{Ran: RanNo, Reason: r}
+}
+
+// Cut returns the ending of a request that ran and whose answer is not whole.
+func Cut(r Reason) Ending {
+	return Ending{Ran: RanYes, Reason: r}
+}
+
+// Unknown returns the ending of a request of which nobody can tell whether it ran.
+func Unknown(r Reason) Ending {
+	return Ending{Ran: RanUnknown, Reason: r}
+}
+
+// WithRetryAfter returns a copy of e that tells the caller when to come back.
+func (e Ending) WithRetryAfter(d time.Duration) Ending {
+	e.RetryAfter = d
+	return e
+}
--- /dev/null
+++ b/core/gate/event.go
@@ -0,0 +1,97 @@
+package gate
+
+import (
+	"time"
+
+	"kingcupstand/core/call"
+)
+
+// Event is an input of a Gate: one of the types of this file.
+type Event interface {
+	apply(g *Gate, now time.Duration)
+}
+
+// Arrive is a new offer.
+type Arrive struct{ Offer Offer }
+
+// Depart is the loss or closing of an offer stream by the entry.
+type Depart struct{ Conn Conn }
+
+// First is the first piece of the target's answer.
+type First struct{ Conn Conn }
+
+// Finish is the end of the target's answer, with the tokens it counted.
+type Finish struct {
+	Conn Conn
+	// Whole is true only if the answer was read to its proper end.
+	Whole bool
+	// Unsent is true only if no byte of the request left for the target.
+	Unsent                 bool
+	Prompt, Cached, Output int
+}
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Reconfigure puts a new policy in force.
+type Reconfigure struct{ Policy Policy }
+
+// Drain starts a planned stop.
+type Drain struct{}
+
+var (
+	_ Event = Arrive{}
+	_ Event = Depart{}
+	_ Event = First{}
+	_ Event = Finish{}
+	_ Event = Tick{}
+	_ Event = Reconfigure{}
+	_ Event = Drain{}
+)
+
+func (e Arrive) apply(g *Gate, now time.Duration)    { g.arrive(now, e.Offer) }
+func (e Depart) apply(g *Gate, _ time.Duration)      { g.depart(e.Conn) }
+func (e Finish) apply(g *Gate, now time.Duration)    { g.finish(now, e) }
+func (e Tick) apply(*Gate, time.Duration)            {}
+func (e Reconfigure) apply(g *Gate, _ time.Duration) { g.reconfigure(e.Policy) }
+func (e Drain) apply(g *Gate, _ time.Duration)       { g.drain() }
+
+func (e First) apply(g *Gate, now time.Duration) {
+	if j, ok := g.jobs[e.Conn]; ok && j.first == 0 {
+		j.first = now
+	}
+}
+
+// Action is an output of a Gate: one of the types below.
+type Action interface {
+	action()
+}
+
+// Dispatch says that the request is to be sent to the target, now and once.
+type Dispatch struct{ Conn Conn }
+
+// Hold says that the offer is queued.
+type Hold struct{ Conn Conn }
+
+// Refuse says that the offer is not dispatched by this agent.
+type Refuse struct {
+	Conn   Conn
+	Ending call.Ending
+	// Released is true if this agent has bound itself never to dispatch the id.
+	Released bool
+}
+
+// Cancel says that the target's answer is to be closed.
+type Cancel struct {
+	Conn   Conn
+	Ending call.Ending
+}
+
+// Drained says that a planned stop is complete.
+type Drained struct{}
+
+func (Dispatch) action() {}
+func (Hold) action()     {}
+func (Refuse) action()   {}
+func (Cancel) action()   {}
+func (Drained) action()  {}
--- /dev/null
+++ b/core/gate/gate.go
@@ -0,0 +1,488 @@
+// Package gate decides what one agent's target runs. It is the only gate to the
+// target: it keeps the queue, orders it by tier and deadline, dispatches each
+// request at most once, and makes room for higher tiers.
+//
+// A Gate is a deterministic state machine. Events and the time go in, Actions
+// come out; it has no goroutine, clock, socket or random source. The time is the
+// agent's uptime.
+//
+// # Usage
+//
+//	g := gate.New("engine-3", incarnation, limits, policy, speed)
+//	for _, a := range g.Step(now, gate.Arrive{Offer: o}) {
+//		switch a := a.(type) {
+//		case gate.Dispatch: // send the request of a.Conn to the target
+//		case gate.Refuse:   // answer a.Conn with a.Ending
+//		case gate.Hold:     // tell a.Conn that it is queued
+//		case gate.Cancel:   // close the target's answer for a.Conn
+//		case gate.Drained:  // nothing runs any more after a Drain event
+//		}
+//	}
+//
+// The returned slice is valid until the next Step.
+package gate
+
+import (
+	"time"
+
+	"kingcupstand/core/call"
+	"kingcupstand/core/heap"
+)
+
+// Conn identifies one offer stream at the agent. Conns are never used again.
+type Conn uint64
+
+// Offer is a request as an entry offers it.
+type Offer struct {
+	Conn      Conn
+	ID        call.ID
+	Workspace string
+	Tier      string
+	// Budget is the time left until the deadline.
+	Budget time.Duration
+	// Prompt, Cached and Output are estimates in tokens. Cached counts the part
+	// of Prompt that the target is believed to have in its prefix cache.
+	Prompt, Cached, Output int
+	// Repeatable is false for requests that change something when they run.
+	Repeatable bool
+}
+
+// tokens returns the tokens that the request occupies in a batch.
+func (o Offer) tokens() int { return o.Prompt + o.Output }
+
+// Terms are what the contract says of one workspace's tier.
+type Terms struct {
+	Rank call.Rank
+	// Wait is true if overload makes the tier wait instead of being refused.
+	Wait bool
+	// Cuttable is true if running requests may be cut before other victims.
+	Cuttable bool
+}
+
+// Policy looks up contract terms. Implementations are immutable.
+type Policy interface {
+	// Terms reports false if the contract does not allow the tier.
+	Terms(workspace, tier string) (Terms, bool)
+}
+
+// Limits bound a gate. All fields must be above zero.
+type Limits struct {
+	// Batch is the most requests given to the target at once.
+	Batch int
+	// BatchTokens is the most tokens given to the target at once. A single
+	// larger request runs alone.
+	BatchTokens int
+	// Queue is the most requests held that may be shed, and as many again that
+	// must wait.
+	Queue int
+	// IDs is the most request ids remembered.
+	IDs int
+	// IDLife is the longest lifetime of a request id.
+	IDLife time.Duration
+	// ShedHold is how long lower tiers are refused after a tier was shed.
+	ShedHold time.Duration
+}
+
+// state is where a job is in its life.
+type state uint8
+
+const (
+	queued state = iota
+	running
+	// closing jobs were told to stop; they no longer occupy a slot.
+	closing
+)
+
+// job is one offer that was neither refused nor finished.
+type job struct {
+	offer    Offer
+	terms    Terms
+	deadline time.Duration
+	state    state
+	started  time.Duration
+	first    time.Duration
+	seq      uint64
+	// lane is nil unless the job is queued; own, early and late belong to it.
+	lane        *lane
+	own         time.Duration
+	early, late *heap.Node[*job]
+}
+
+// Gate is the state of one agent. It is not safe for concurrent use.
+type Gate struct {
+	target      string
+	incarnation uint64
+	limits      Limits
+	policy      Policy
+	speed       Speed
+	ledger      *ledger
+	queue       *queue
+	jobs        map[Conn]*job
+	slots       map[Conn]*job
+	slotTokens  int
+	floor       floor
+	seq         uint64
+	draining    bool
+	drained     bool
+	out         []Action
+}
+
+// New returns the gate of the named target's agent.
+func New(target string, incarnation uint64, l Limits, p Policy, s Speed) *Gate {
+	return &Gate{
+		target:      target,
+		incarnation: incarnation,
+		limits:      l,
+		policy:      p,
+		speed:       s,
+		ledger:      newLedger(l.IDs),
+		queue:       newQueue(),
+		jobs:        make(map[Conn]*job),
+		slots:       make(map[Conn]*job),
+	}
+}
+
+// Step takes one event at the given uptime and returns what is to be done.
+func (g *Gate) Step(now time.Duration, e Event) []Action {
+	g.out = g.out[:0]
+	g.ledger.expire(now)
+	e.apply(g, now)
+	g.pump(now)
+	g.reportDrained()
+	return g.out
+}
+
+func (g *Gate) emit(a Action) {
+	g.out = append(g.out, a)
+}
+
+// reportDrained emits Drained once, when nothing runs after a Drain event.
+// Closing jobs count as running until the target's answer is closed.
+func (g *Gate) reportDrained() {
+	if g.draining && !g.drained && len(g.jobs) == 0 {
+		g.drained = true
+		g.emit(Drained{})
+	}
+}
+
+// arrive judges a new offer and queues it if it may run.
+func (g *Gate) arrive(now time.Duration, o Offer) {
+	if e, ok := g.judgeID(now, o); !ok {
+		g.emit(Refuse{Conn: o.Conn, Ending: e})
+		return
+	}
+	t, ok := g.policy.Terms(o.Workspace, o.Tier)
+	j := &job{offer: o, terms: t, deadline: now + o.Budget, seq: g.seq}
+	g.seq++
+	switch {
+	case g.draining:
+		g.release(j, call.ReasonLeaving)
+	case !ok:
+		g.release(j, call.ReasonContract)
+	case g.speed.own(o) > o.Budget:
+		g.release(j, call.ReasonTooLate)
+	case g.floor.blocks(now, t.Rank) && !t.Wait:
+		g.release(j, call.ReasonOverload)
+	default:
+		g.admit(now, j)
+	}
+}
+
+// judgeID decides whether this incarnation may run the id at all. The ending it
+// returns otherwise claims no more than what the ledger shows.
+func (g *Gate) judgeID(now time.Duration, o Offer) (call.Ending, bool) {
+	t, err := call.ParseID(o.ID)
+	if err != nil {
+		return call.Unknown(call.ReasonWrongIncarnation), false
+	}
+	if t.Target() != g.target || t.Incarnation() != g.incarnation {
+		return call.Unknown(call.ReasonWrongIncarnation), false
+	}
+	if t.Expiry() <= now || t.Expiry() > now+g.limits.IDLife {
+		return call.Unknown(call.ReasonExpired), false
+	}
+	if e, known := g.ledger.judge(o.ID); known {
+		return e, false
+	}
+	if !g.ledger.add(o.ID, t.Expiry()) {
+		return call.Unknown(call.ReasonOverload).WithRetryAfter(g.retryAfter()), false
+	}
+	return call.Ending{}, true
+}
+
+// admit queues j, or sheds the lowest tier's work to make room for it.
+func (g *Gate) admit(now time.Duration, j *job) {
+	for g.queue.full(j, g.limits.Queue) {
+		if !g.makeRoom(now, j.terms.Rank) {
+			g.shed(now, j)
+			return
+		}
+	}
+	if g.hopeless(now, j) {
+		g.shed(now, j)
+		return
+	}
+	g.jobs[j.offer.Conn] = j
+	g.queue.push(j, g.speed.own(j.offer))
+	g.emit(Hold{Conn: j.offer.Conn})
+}
+
+// hopeless reports whether j would miss its deadline behind the work that goes
+// before it, with no lower tier left that could give way.
+func (g *Gate) hopeless(now time.Duration, j *job) bool {
+	if g.lowerPresent(j.terms.Rank) {
+		return false
+	}
+	w := g.queue.ahead(j) / time.Duration(g.limits.Batch)
+	return now+w+g.speed.own(j.offer) > j.deadline
+}
+
+// makeRoom takes one place of a lower tier than r, queued or running. It reports
+// false if there is none.
+func (g *Gate) makeRoom(now time.Duration, r call.Rank) bool {
+	if v := g.queue.last(r); v != nil {
+		g.shed(now, v)
+		return true
+	}
+	v := g.victim(r)
+	if v == nil {
+		return false
+	}
+	g.cancel(v, call.ReasonPreempted)
+	h := g.queue.first()
+	g.start(now, h)
+	return true
+}
+
+// release refuses j and binds this agent never to dispatch it.
+func (g *Gate) release(j *job, r call.Reason) {
+	g.forget(j)
+	g.ledger.set(j.offer.ID, released)
+	e := call.NotRun(r)
+	if r == call.ReasonOverload || r == call.ReasonDeadline || r == call.ReasonContract {
+		e = e.WithRetryAfter(g.retryAfter())
+	}
+	g.emit(Refuse{Conn: j.offer.Conn, Ending: e, Released: true})
+}
+
+// shed refuses j for want of capacity. Lower tiers must not run in its place, so
+// they are refused first, and for a while after.
+func (g *Gate) shed(now time.Duration, j *job) {
+	for v := g.queue.last(j.terms.Rank); v != nil; v = g.queue.last(j.terms.Rank) {
+		g.release(v, call.ReasonOverload)
+	}
+	g.floor = g.floor.raise(now, j.terms.Rank, g.limits.ShedHold)
+	r := call.ReasonOverload
+	if now >= j.deadline {
+		r = call.ReasonDeadline
+	}
+	g.release(j, r)
+}
+
+// forget removes j from the queue or its slot.
+func (g *Gate) forget(j *job) {
+	g.queue.remove(j)
+	g.vacate(j)
+	delete(g.jobs, j.offer.Conn)
+}
+
+// vacate frees the slot of j, if it has one.
+func (g *Gate) vacate(j *job) {
+	if _, ok := g.slots[j.offer.Conn]; !ok {
+		return
+	}
+	delete(g.slots, j.offer.Conn)
+	g.slotTokens -= j.offer.tokens()
+}
+
+// start dispatches a queued job. This is the only place that emits Dispatch, and
+// the ledger lets each id through once.
+func (g *Gate) start(now time.Duration, j *job) {
+	if !g.ledger.begin(j.offer.ID) {
+		g.forget(j)
+		g.emit(Refuse{Conn: j.offer.Conn, Ending: call.Unknown(call.ReasonDuplicate)})
+		return
+	}
+	g.queue.remove(j)
+	j.state = running
+	j.started = now
+	g.slots[j.offer.Conn] = j
+	g.slotTokens += j.offer.tokens()
+	g.emit(Dispatch{Conn: j.offer.Conn})
+}
+
+// cancel stops a running job to use its slot for another.
+func (g *Gate) cancel(j *job, r call.Reason) {
+	j.state = closing
+	g.vacate(j)
+	g.ledger.set(j.offer.ID, cut)
+	e := call.Cut(r).WithRetryAfter(g.retryAfter())
+	g.emit(Cancel{Conn: j.offer.Conn, Ending: e})
+}
+
+// fits reports whether the target has a free slot for j.
+func (g *Gate) fits(j *job) bool {
+	if len(g.slots) == 0 {
+		return true
+	}
+	return len(g.slots) < g.limits.Batch && g.slotTokens+j.offer.tokens() <= g.limits.BatchTokens
+}
+
+// lowerPresent reports whether work of a tier below r runs here, or is queued
+// here and could be refused.
+func (g *Gate) lowerPresent(r call.Rank) bool {
+	return g.victim(r) != nil || g.queue.last(r) != nil
+}
+
+// victim returns the running job below rank r that is cut first: protected jobs
+// last, then the lowest tier, then the least prefill thrown away.
+func (g *Gate) victim(r call.Rank) *job {
+	var v *job
+	for _, j := range g.slots {
+		if j.terms.Rank.Below(r) && (v == nil || cutBefore(j, v)) {
+			v = j
+		}
+	}
+	return v
+}
+
+// cutBefore orders running jobs by how early they are cut.
+func cutBefore(a, b *job) bool {
+	if a.terms.protected() != b.terms.protected() {
+		return !a.terms.protected()
+	}
+	if a.terms.Rank != b.terms.Rank {
+		return a.terms.Rank.Below(b.terms.Rank)
+	}
+	if a.wasted() != b.wasted() {
+		return a.wasted() < b.wasted()
+	}
+	return a.seq > b.seq
+}
+
+// protected reports whether running requests are cut only when nothing else is left.
+func (t Terms) protected() bool {
+	return t.Wait || !t.Cuttable
+}
+
+// wasted returns the prefill, in tokens, that is thrown away if j is cut.
+func (j *job) wasted() int {
+	return j.offer.Prompt - j.offer.Cached
+}
+
+// retryAfter estimates when the queue of now will be gone.
+func (g *Gate) retryAfter() time.Duration {
+	d := g.queue.work() / time.Duration(g.limits.Batch)
+	return min(max(d.Round(time.Second), minRetryAfter), maxRetryAfter)
+}
+
+// Bounds of the times that callers are told to come back after.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
+)
+
+// depart handles the loss of an offer stream: nobody waits for the answer.
+func (g *Gate) depart(c Conn) {
+	j, ok := g.jobs[c]
+	if !ok {
+		return
+	}
+	switch {
+	case j.state == queued:
+		// Nothing was dispatched and the stream that held the right is gone, so a
+		// resubmission of the id may still run.
+		g.forget(j)
+		g.ledger.remove(j.offer.ID)
+	case j.state == running && j.offer.Repeatable:
+		g.cancel(j, call.ReasonCallerGone)
+	}
+}
+
+// finish handles the end of a target's answer.
+func (g *Gate) finish(now time.Duration, f Finish) {
+	j, ok := g.jobs[f.Conn]
+	if !ok || j.state == queued {
+		return
+	}
+	g.forget(j)
+	switch {
+	case f.Whole:
+		g.ledger.set(j.offer.ID, whole)
+		g.speed = g.speed.observe(j.started, j.first, now, f)
+	case f.Unsent:
+		g.ledger.set(j.offer.ID, released)
+	default:
+		g.ledger.set(j.offer.ID, cut)
+	}
+}
+
+// reconfigure puts a policy in force for queued and running work as well.
+func (g *Gate) reconfigure(p Policy) {
+	g.policy = p
+	for _, j := range g.queue.all() {
+		t, ok := p.Terms(j.offer.Workspace, j.offer.Tier)
+		if !ok {
+			g.release(j, call.ReasonContract)
+			continue
+		}
+		g.queue.remove(j)
+		j.terms = t
+		g.queue.push(j, g.speed.own(j.offer))
+	}
+	for _, j := range g.slots {
+		if t, ok := p.Terms(j.offer.Workspace, j.offer.Tier); ok {
+			j.terms = t
+		}
+	}
+}
+
+// drain hands all queued work back and takes no more.
+func (g *Gate) drain() {
+	g.draining = true
+	for _, j := range g.queue.all() {
+		g.release(j, call.ReasonLeaving)
+	}
+}
+
+// Load returns the report that entries route by.
+func (g *Gate) Load(now time.Duration) Load {
+	l := Load{
+		Incarnation:   g.incarnation,
+		Uptime:        now,
+		Leaving:       g.draining,
+		Running:       len(g.slots),
+		RunningTokens: g.slotTokens,
+		Queued:        g.queue.len(),
+		Batch:         g.limits.Batch,
+		Speed:         g.speed,
+		ShedBelow:     g.floor.rank(now),
+	}
+	for _, q := range g.queue.lanes {
+		if q.early.Len() > 0 {
+			l.Tiers = append(l.Tiers, TierLoad{Rank: q.rank, Work: q.work})
+		}
+	}
+	return l
+}
+
+// Load is an agent's report of its own state.
+type Load struct {
+	Incarnation   uint64
+	Uptime        time.Duration
+	Leaving       bool
+	Running       int
+	RunningTokens int
+	Queued        int
+	Batch         int
+	Tiers         []TierLoad
+	Speed         Speed
+	// ShedBelow is the tier whose lower tiers are refused, or 0.
+	ShedBelow call.Rank
+}
+
+// TierLoad is the queued work of one tier: its predicted time on one slot.
+type TierLoad struct {
+	Rank call.Rank
+	Work time.Duration
+}
--- /dev/null
+++ b/core/gate/speed.go
@@ -0,0 +1,45 @@
+package gate
+
+import "time"
+
+// Speed is what is believed of a target's pace. It is an immutable value.
+type Speed struct {
+	// Prefill is the time per prompt token that is not in the prefix cache.
+	Prefill time.Duration
+	// Step is the time per output token.
+	Step time.Duration
+}
+
+// gain is the weight of one observation in the moving averages, as a divisor.
+const gain = 8
+
+// own returns the predicted time of a request at a target that has a free slot.
+func (s Speed) own(o Offer) time.Duration {
+	return s.Time(o.Prompt-o.Cached, o.Output)
+}
+
+// Time returns the predicted time for so many uncached prompt tokens and output
+// tokens.
+func (s Speed) Time(prompt, output int) time.Duration {
+	return time.Duration(max(prompt, 0))*s.Prefill + time.Duration(output)*s.Step
+}
+
+// observe returns the speed after a whole answer: dispatched at started, first
+// piece at first, end at now.
+func (s Speed) observe(started, first, now time.Duration, f Finish) Speed {
+	if first == 0 {
+		return s
+	}
+	if n := f.Prompt - f.Cached; n > 0 {
+		s.Prefill = blend(s.Prefill, (first-started)/time.Duration(n))
+	}
+	if n := f.Output - 1; n > 0 {
+		s.Step = blend(s.Step, (now-first)/time.Duration(n))
+	}
+	return s
+}
+
+// blend moves an average towards an observation.
+func blend(avg, v time.Duration) time.Duration {
+	return max(avg+(v-avg)/gain, 1)
+}
--- /dev/null
+++ b/internal/cli/check.go
@@ -0,0 +1,87 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"sigs.k8s.io/yaml"
+
+	"kingcupstand/core/conf"
+)
+
+// checkCommand checks files as the processes would.
+type checkCommand struct {
+	streams
+	Args struct {
+		Files []string `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	bad := false
+	for _, f := range c.Args.Files {
+		b, err := os.ReadFile(f)
+		if err != nil {
+			fmt.Fprintln(c.log, err)
+			bad = true
+			continue
+		}
+		if ps := check(b); len(ps) > 0 {
+			c.print(f, ps)
+			bad = true
+		}
+	}
+	if bad {
+		return errPrinted
+	}
+	return nil
+}
+
+// check finds out what a file is by the keys that only one kind has.
+func check(b []byte) []conf.Problem {
+	var m map[string]any
+	_ = yaml.Unmarshal(b, &m) // what is not YAML is reported below
+	switch {
+	case has(m, "instances"):
+		_, ps := conf.ParseInstances(b)
+		return ps
+	case has(m, "listen"), has(m, "platform"), has(m, "data-centre"):
+		_, ps := conf.ParseSettings(b)
+		return ps
+	default:
+		_, ps := conf.ParseDocument(b)
+		return ps
+	}
+}
+
+func has(m map[string]any, k string) bool {
+	_, ok := m[k]
+	return ok
+}
+
+// hashCommand prints the hash of a key. The key is read from standard input, so
+// that it does not stand in the shell's history.
+type hashCommand struct {
+	streams
+}
+
+// maxKey bounds a key, in bytes.
+const maxKey = 4096
+
+// Execute implements flags.Commander.
+func (c *hashCommand) Execute([]string) error {
+	b, err := io.ReadAll(io.LimitReader(os.Stdin, maxKey))
+	if err != nil {
+		return errors.Join(errInput, err)
+	}
+	k := strings.TrimRight(string(b), "\r\n")
+	if k == "" {
+		return fmt.Errorf("%w: expected a key on standard input", errInput)
+	}
+	fmt.Fprintln(c.out, conf.HashKey(k))
+	return nil
+}
--- /dev/null
+++ b/internal/cli/process.go
@@ -0,0 +1,138 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/proc"
+
+	"kingcupstand/core/conf"
+	"kingcupstand/io/agent"
+	"kingcupstand/io/entry"
+	"kingcupstand/io/telem"
+	"kingcupstand/schema/spec"
+)
+
+// forever keeps go-zero, which handles SIGTERM by itself, from ending the process
+// while requests are in flight.
+const forever = 365 * 24 * time.Hour
+
+// entryCommand runs an entry.
+type entryCommand struct {
+	streams
+	Settings string `long:"settings" required:"true" value-name:"FILE" description:"settings of the process"`
+}
+
+// agentCommand runs an agent.
+type agentCommand struct {
+	streams
+	Settings string `long:"settings" required:"true" value-name:"FILE" description:"settings of the process"`
+}
+
+// process is what both roles are once they are set up.
+type process interface {
+	Run(ctx context.Context, stop <-chan struct{}) error
+}
+
+var (
+	_ process = (*entry.Entry)(nil)
+	_ process = (*agent.Agent)(nil)
+)
+
+// Execute implements flags.Commander.
+func (c *entryCommand) Execute([]string) error {
+	return c.start(c.Settings, conf.RoleEntry, func(s *spec.Settings, t *telem.Telemetry) (process, error) {
+		return entry.New(s, t)
+	})
+}
+
+// Execute implements flags.Commander.
+func (c *agentCommand) Execute([]string) error {
+	return c.start(c.Settings, conf.RoleAgent, func(s *spec.Settings, t *telem.Telemetry) (process, error) {
+		return agent.New(s, t)
+	})
+}
+
+// start reads the settings, and runs the process until it is stopped.
+func (s streams) start(file string, role conf.Role, build func(*spec.Settings, *telem.Telemetry) (process, error)) error {
+	c, err := s.settings(file, role)
+	if err != nil {
+		return err
+	}
+	t, err := telem.New(s.log, c.Name, c)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errInput, err)
+	}
+	proc.SetTimeToForceQuit(forever)
+	telem.Redirect(t.Log)
+	p, err := build(c, t)
+	if err != nil {
+		return errors.Join(err, t.Close())
+	}
+	return errors.Join(runUntilStopped(p, time.Duration(c.GraceSeconds)*time.Second), t.Close())
+}
+
+// settings reads a settings file for the given role.
+func (s streams) settings(file string, role conf.Role) (*spec.Settings, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errInput, err)
+	}
+	c, ps := conf.ParseSettings(b)
+	if len(ps) > 0 {
+		s.print(file, ps)
+		return nil, errPrinted
+	}
+	if r := conf.RoleOf(c); r != role {
+		return nil, fmt.Errorf("%s: %w: these are the settings of an %s: expected those of an %s", file, errInput, r, role)
+	}
+	return c, nil
+}
+
+// print writes one line for each problem.
+func (s streams) print(file string, ps []conf.Problem) {
+	for _, p := range ps {
+		fmt.Fprintf(s.log, "%s: %s\n", file, p)
+	}
+}
+
+// runUntilStopped runs a process. The first signal starts a planned stop; the
+// second one, or the end of the grace period, cuts it short.
+func runUntilStopped(p process, grace time.Duration) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c := make(chan os.Signal, 2)
+	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(c)
+	w := &stopper{signals: c, stop: make(chan struct{}), cancel: cancel, grace: grace}
+	go w.run(ctx)
+	return p.Run(ctx, w.stop)
+}
+
+// stopper turns signals into a planned stop.
+type stopper struct {
+	signals <-chan os.Signal
+	stop    chan struct{}
+	cancel  context.CancelFunc
+	grace   time.Duration
+}
+
+func (s *stopper) run(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-s.signals:
+	}
+	close(s.stop)
+	select {
+	case <-ctx.Done():
+	case <-s.signals:
+	case <-time.After(s.grace):
+	}
+	s.cancel()
+}
--- /dev/null
+++ b/internal/stand/stand.go
@@ -0,0 +1,73 @@
+// Package stand has small stand-ins for what kingcupstand serves and reads: a
+// model engine, a plain service and the platform. They speak the published
+// protocols and keep a journal of what they ran, so that a test can tell what
+// really happened from what callers were told.
+//
+// # Usage
+//
+//	e := stand.NewEngine(stand.EngineConfig{Step: 4 * time.Millisecond, Batch: 8})
+//	defer e.Close()
+//	http.Serve(listener, e)
+//	j := e.Journal()
+package stand
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+)
+
+// Journal is what a target ran.
+type Journal struct {
+	// Runs counts the dispatches of each request id.
+	Runs map[string]int `json:"runs"`
+	// Finished counts the whole answers of each request id.
+	Finished map[string]int `json:"finished"`
+	// Prefill, Cached and Wasted are prompt tokens: computed, found in the prefix
+	// cache, and computed for answers that were not finished.
+	Prefill int `json:"prefill"`
+	Cached  int `json:"cached"`
+	Wasted  int `json:"wasted"`
+	// Output is the number of tokens generated.
+	Output int `json:"output"`
+}
+
+// journal is a Journal that several goroutines write.
+type journal struct {
+	mu sync.Mutex
+	j  Journal
+}
+
+func newJournal() *journal {
+	return &journal{j: Journal{Runs: make(map[string]int), Finished: make(map[string]int)}}
+}
+
+func (j *journal) update(f func(*Journal)) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	f(&j.j)
+}
+
+// copy returns a journal that does not change any more.
+func (j *journal) copy() Journal {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	c := j.j
+	c.Runs = clone(j.j.Runs)
+	c.Finished = clone(j.j.Finished)
+	return c
+}
+
+func clone(m map[string]int) map[string]int {
+	c := make(map[string]int, len(m))
+	for k, v := range m {
+		c[k] = v
+	}
+	return c
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/io/agent/stream.go
@@ -0,0 +1,285 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"kingcupstand/core/call"
+	"kingcupstand/core/gate"
+	"kingcupstand/io/link"
+	"kingcupstand/io/target"
+	"kingcupstand/io/telem"
+	"kingcupstand/schema/wire"
+)
+
+// errNoOffer is returned to a peer whose stream does not begin with an offer.
+var errNoOffer = errors.New("stream does not begin with an offer")
+
+// errCancelled closes a target's answer because the gate said so.
+var errCancelled = errors.New("canceled by the gate")
+
+// stream serves one offer.
+type stream struct {
+	agent   *Agent
+	wire    wire.DRPCAgent_OfferStream
+	offer   *wire.Offer
+	conn    gate.Conn
+	actions <-chan gate.Action
+	span    trace.Span
+
+	// mu guards sending; sequence counts the frames.
+	mu       sync.Mutex
+	sequence uint64
+	canceled atomic.Pointer[call.Ending]
+	first    atomic.Bool
+}
+
+// Offer implements the agent service.
+func (a *Agent) Offer(w wire.DRPCAgent_OfferStream) error {
+	f, err := w.Recv()
+	if err != nil {
+		return fmt.Errorf("receive offer: %w", err)
+	}
+	o := f.GetOffer()
+	if o == nil {
+		return errNoOffer
+	}
+	a.streams.Add(1)
+	defer a.streams.Add(-1)
+	ctx, span := a.telem.Start(telem.Extract(w.Context(), o.TraceParent), "agent.offer")
+	defer span.End()
+	span.SetAttributes(attribute.String("request-id", o.RequestId), attribute.String("tier", o.Tier))
+	s := &stream{agent: a, wire: w, offer: o, span: span}
+	s.conn, s.actions = a.register(unpack(o))
+	return s.run(ctx)
+}
+
+func unpack(o *wire.Offer) gate.Offer {
+	return gate.Offer{
+		ID:         call.ID(o.RequestId),
+		Workspace:  o.Workspace,
+		Tier:       o.Tier,
+		Budget:     time.Duration(o.BudgetMs) * time.Millisecond,
+		Prompt:     int(o.PromptTokens),
+		Cached:     int(o.CachedTokens),
+		Output:     int(o.OutputTokens),
+		Repeatable: o.Repeatable,
+	}
+}
+
+// run carries out the gate's actions until the offer is refused or answered.
+func (s *stream) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			// The entry is gone. The gate may have dispatched in the meantime; then
+			// the Dispatch action is already in the channel and must be carried out.
+			s.depart(ctx)
+			return nil
+		case x := <-s.actions:
+			switch x := x.(type) {
+			case gate.Hold:
+				_ = s.send(&wire.AgentFrame{Kind: &wire.AgentFrame_Queued{Queued: &wire.Queued{}}})
+			case gate.Refuse:
+				s.agent.unregister(s.conn, gate.Tick{})
+				return s.refuse(x.Ending, x.Released)
+			case gate.Dispatch:
+				return s.dispatch(ctx)
+			}
+		}
+	}
+}
+
+// depart tells the gate that the entry is gone. If the gate has dispatched the
+// request in the meantime, the answer must still be seen through.
+func (s *stream) depart(ctx context.Context) {
+	s.agent.depart(s.conn)
+	for {
+		select {
+		case x := <-s.actions:
+			if _, ok := x.(gate.Dispatch); ok {
+				_ = s.dispatch(ctx)
+				return
+			}
+		default:
+			s.agent.unregister(s.conn, gate.Tick{})
+			return
+		}
+	}
+}
+
+// refuse sends a refusal, the only frame after which the entry may move on.
+func (s *stream) refuse(e call.Ending, released bool) error {
+	s.span.SetAttributes(attribute.String("refused", string(e.Reason)))
+	return s.send(&wire.AgentFrame{
+		Kind: &wire.AgentFrame_Refused{Refused: link.PackRefusal(e, released)},
+		Load: s.agent.load(),
+	})
+}
+
+// dispatch sends the request to the target and the answer to the entry.
+func (s *stream) dispatch(ctx context.Context) error {
+	ctx, span := s.agent.telem.Start(ctx, "agent.dispatch")
+	defer span.End()
+	if !s.offer.Repeatable {
+		// Work that changes something is finished even if nobody waits for it.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	done := make(chan struct{})
+	defer close(done)
+	go s.runCancel(cancel, done)
+	r := s.agent.client.Run(ctx, s.request(ctx), s)
+	s.agent.unregister(s.conn, gate.Finish{
+		Conn:   s.conn,
+		Whole:  r.Whole,
+		Unsent: !r.Sent,
+		Prompt: r.Usage.Prompt,
+		Cached: r.Usage.Cached,
+		Output: r.Usage.Output,
+	})
+	if !r.Sent {
+		return s.refuse(call.NotRun(r.Reason), true)
+	}
+	return s.end(r)
+}
+
+// runCancel waits for the gate to cancel a dispatched request, or for the entry
+// to go away.
+func (s *stream) runCancel(cancel context.CancelCauseFunc, done <-chan struct{}) {
+	gone := s.wire.Context().Done()
+	for {
+		select {
+		case <-done:
+			return
+		case <-gone:
+			gone = nil
+			s.agent.post(gate.Depart{Conn: s.conn})
+		case x := <-s.actions:
+			if c, ok := x.(gate.Cancel); ok {
+				s.canceled.Store(&c.Ending)
+				cancel(errCancelled)
+			}
+		}
+	}
+}
+
+// request returns what is sent to the target.
+func (s *stream) request(ctx context.Context) target.Request {
+	h := make(http.Header)
+	for _, l := range s.offer.Headers {
+		h.Add(l.Name, l.Value)
+	}
+	h.Set("X-Request-Id", s.offer.RequestId)
+	if p := telem.Inject(ctx); p != "" {
+		h.Set("traceparent", p)
+	}
+	q := target.Request{Method: s.offer.Method, Path: s.offer.Path, Header: h}
+	switch {
+	case s.offer.BodyFollows:
+		q.Body = &bodyReader{wire: s.wire}
+	case len(s.offer.Body) > 0:
+		q.Body = &bodyReader{left: s.offer.Body, ended: true}
+	}
+	return q
+}
+
+// end sends the last frame of an answer.
+func (s *stream) end(r target.Result) error {
+	e := &wire.End{
+		Whole:        r.Whole,
+		Reason:       string(r.Reason),
+		PromptTokens: uint32(r.Usage.Prompt),
+		CachedTokens: uint32(r.Usage.Cached),
+		OutputTokens: uint32(r.Usage.Output),
+	}
+	if c := s.canceled.Load(); c != nil && !r.Whole {
+		e.Reason = string(c.Reason)
+		e.RetryAfterMs = c.RetryAfter.Milliseconds()
+	}
+	s.agent.telem.Log.V(1).Info("request ended", "request-id", s.offer.RequestId, "workspace", s.offer.Workspace,
+		"rank", s.agent.rank(s.offer.Workspace, s.offer.Tier), "whole", r.Whole, "reason", e.Reason)
+	return s.send(&wire.AgentFrame{Kind: &wire.AgentFrame_End{End: e}, Load: s.agent.load()})
+}
+
+// Connected implements target.Sink.
+func (s *stream) Connected() {
+	_ = s.send(&wire.AgentFrame{Kind: &wire.AgentFrame_Dispatched{Dispatched: &wire.Dispatched{}}})
+}
+
+// Head implements target.Sink.
+func (s *stream) Head(status int, h http.Header) error {
+	return s.pass(&wire.AgentFrame{Kind: &wire.AgentFrame_Head{Head: &wire.Head{
+		Status:  int32(status),
+		Headers: link.PackHeaders(h, nil),
+	}}})
+}
+
+// Data implements target.Sink.
+func (s *stream) Data(b []byte) error {
+	if s.first.CompareAndSwap(false, true) {
+		s.agent.post(gate.First{Conn: s.conn})
+	}
+	return s.pass(&wire.AgentFrame{Kind: &wire.AgentFrame_Data{Data: b}})
+}
+
+// pass sends a piece of an answer. Without an entry the pieces of work that
+// changes something are dropped, so that the target is not cut off.
+func (s *stream) pass(f *wire.AgentFrame) error {
+	err := s.send(f)
+	if err != nil && !s.offer.Repeatable {
+		return nil
+	}
+	return err
+}
+
+func (s *stream) send(f *wire.AgentFrame) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f.RequestId = s.offer.RequestId
+	f.Number = s.offer.Number
+	f.Sequence = s.sequence
+	s.sequence++
+	if err := s.wire.Send(f); err != nil {
+		return fmt.Errorf("send frame: %w", err)
+	}
+	return nil
+}
+
+// errBodyLost is returned to net/http when the entry went away in mid-body.
+var errBodyLost = errors.New("request body ended early")
+
+// bodyReader reads a request body from an offer, or from the frames after it.
+type bodyReader struct {
+	wire  wire.DRPCAgent_OfferStream
+	left  []byte
+	ended bool
+}
+
+// Read implements io.Reader.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	for len(b.left) == 0 {
+		if b.ended {
+			return 0, io.EOF
+		}
+		f, err := b.wire.Recv()
+		if err != nil {
+			return 0, errBodyLost
+		}
+		b.left = f.GetBody()
+		b.ended = f.GetBodyEnd()
+	}
+	n := copy(p, b.left)
+	b.left = b.left[n:]
+	return n, nil
+}
--- /dev/null
+++ b/io/entry/fault.go
@@ -0,0 +1,118 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"kingcupstand/core/call"
+)
+
+// Headers of the callers' interface.
+const (
+	headerTier       = "Kingcupstand-Tier"
+	headerDeadline   = "Kingcupstand-Deadline-Ms"
+	headerIdempotent = "Kingcupstand-Idempotent"
+	headerID         = "Kingcupstand-Request-Id"
+	headerRan        = "Kingcupstand-Ran"
+	headerOffers     = "Kingcupstand-Offers"
+	headerOwnID      = "X-Request-Id"
+	headerOwnKey     = "Idempotency-Key"
+)
+
+// fault is an error as a caller sees it.
+type fault struct {
+	Status     int           `json:"-"`
+	Message    string        `json:"message"`
+	Type       string        `json:"type"`
+	Code       string        `json:"code"`
+	Ran        string        `json:"ran"`
+	RequestID  string        `json:"request_id,omitempty"`
+	RetryAfter time.Duration `json:"-"`
+}
+
+// Types of faults, as chat-completions clients know them.
+const (
+	typeInvalid   = "invalid_request_error"
+	typeAuth      = "authentication_error"
+	typeDenied    = "permission_error"
+	typeRate      = "rate_limit_error"
+	typeOverload  = "overloaded_error"
+	typeServer    = "server_error"
+	typeDuplicate = "conflict_error"
+)
+
+// refuse returns a fault found before the request was offered to anyone.
+func refuse(status int, kind, code, message string) *fault {
+	return &fault{Status: status, Type: kind, Code: code, Message: message, Ran: call.RanNo.String()}
+}
+
+// meaning is how an ending's reason is shown to callers.
+type meaning struct {
+	status  int
+	kind    string
+	message string
+}
+
+// meanings by reason. Reasons that are not listed are shown as a bad gateway.
+var meanings = map[call.Reason]meaning{
+	call.ReasonOverload:         {http.StatusServiceUnavailable, typeOverload, "all targets are at their limit"},
+	call.ReasonTooLate:          {http.StatusGatewayTimeout, typeOverload, "no target can meet the deadline"},
+	call.ReasonDeadline:         {http.StatusGatewayTimeout, typeOverload, "the deadline passed while the request waited"},
+	call.ReasonLeaving:          {http.StatusServiceUnavailable, typeOverload, "all targets are leaving"},
+	call.ReasonNoTarget:         {http.StatusServiceUnavailable, typeOverload, "no live target serves this"},
+	call.ReasonRetries:          {http.StatusServiceUnavailable, typeOverload, "too many targets refused"},
+	call.ReasonContract:         {http.StatusForbidden, typeDenied, "the contract in force does not allow this"},
+	call.ReasonPreempted:        {http.StatusServiceUnavailable, typeOverload, "the answer was cut to make room for a higher tier"},
+	call.ReasonDuplicate:        {http.StatusConflict, typeDuplicate, "this request id was already submitted"},
+	call.ReasonMoved:            {http.StatusConflict, typeDuplicate, "this request id was submitted before and moved on with that submission"},
+	call.ReasonExpired:          {http.StatusConflict, typeDuplicate, "this request id is too old to tell whether it ran"},
+	call.ReasonWrongIncarnation: {http.StatusConflict, typeDuplicate, "the agent that this request id belongs to was replaced"},
+	call.ReasonLost:             {http.StatusBadGateway, typeServer, "the agent of the target could not be reached any more"},
+	call.ReasonCut:              {http.StatusBadGateway, typeServer, "the target's answer ended early"},
+	call.ReasonStalled:          {http.StatusGatewayTimeout, typeServer, "the target fell silent"},
+	call.ReasonTarget:           {http.StatusBadGateway, typeServer, "the target could not be reached"},
+	call.ReasonCallerGone:       {http.StatusBadGateway, typeServer, "the caller closed the connection"},
+	call.ReasonStopped:          {http.StatusBadGateway, typeServer, "the process was stopped"},
+}
+
+// ended returns the fault for an ending that is not whole.
+func ended(e call.Ending, id call.ID) *fault {
+	m, ok := meanings[e.Reason]
+	if !ok {
+		m = meaning{http.StatusBadGateway, typeServer, "no whole answer"}
+	}
+	return &fault{
+		Status:     m.status,
+		Type:       m.kind,
+		Code:       string(e.Reason),
+		Message:    m.message,
+		Ran:        e.Ran.String(),
+		RequestID:  string(id),
+		RetryAfter: e.RetryAfter,
+	}
+}
+
+// body returns the JSON form.
+func (f *fault) body() []byte {
+	b, _ := json.Marshal(map[string]*fault{"error": f}) // plain strings: it can't fail
+	return b
+}
+
+// write answers a request with the fault.
+func (f *fault) write(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(headerRan, f.Ran)
+	if f.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
+	}
+	if f.Ran != call.RanNo.String() {
+		// Client libraries repeat requests by themselves after some statuses.
+		h.Set("X-Should-Retry", "false")
+	}
+	w.WriteHeader(f.Status)
+	_, _ = w.Write(f.body())
+}
--- /dev/null
+++ b/io/link/pack.go
@@ -0,0 +1,85 @@
+package link
+
+import (
+	"net/http"
+	"time"
+
+	"kingcupstand/core/call"
+	"kingcupstand/core/gate"
+	"kingcupstand/schema/wire"
+)
+
+// PackLoad returns the message form of a load report.
+func PackLoad(l gate.Load) *wire.Load {
+	m := &wire.Load{
+		Incarnation:       l.Incarnation,
+		UptimeMs:          uint64(l.Uptime / time.Millisecond),
+		Leaving:           l.Leaving,
+		Running:           uint32(l.Running),
+		Queued:            uint32(l.Queued),
+		RunningTokens:     uint64(l.RunningTokens),
+		Batch:             uint32(l.Batch),
+		PrefillNsPerToken: uint64(l.Speed.Prefill),
+		StepNs:            uint64(l.Speed.Step),
+		ShedBelow:         uint32(l.ShedBelow),
+	}
+	for _, t := range l.Tiers {
+		m.Tiers = append(m.Tiers, &wire.TierLoad{Rank: uint32(t.Rank), WorkUs: uint64(t.Work / time.Microsecond)})
+	}
+	return m
+}
+
+// UnpackLoad is the inverse of PackLoad.
+func UnpackLoad(m *wire.Load) gate.Load {
+	l := gate.Load{
+		Incarnation:   m.GetIncarnation(),
+		Uptime:        time.Duration(m.GetUptimeMs()) * time.Millisecond,
+		Leaving:       m.GetLeaving(),
+		Running:       int(m.GetRunning()),
+		Queued:        int(m.GetQueued()),
+		RunningTokens: int(m.GetRunningTokens()),
+		Batch:         int(m.GetBatch()),
+		Speed: gate.Speed{
+			Prefill: time.Duration(m.GetPrefillNsPerToken()),
+			Step:    time.Duration(m.GetStepNs()),
+		},
+		ShedBelow: call.Rank(m.GetShedBelow()),
+	}
+	for _, t := range m.GetTiers() {
+		l.Tiers = append(l.Tiers, gate.TierLoad{Rank: call.Rank(t.Rank), Work: time.Duration(t.WorkUs) * time.Microsecond})
+	}
+	return l
+}
+
+// PackRefusal returns the message form of a refusal.
+func PackRefusal(e call.Ending, released bool) *wire.Refusal {
+	return &wire.Refusal{
+		Reason:       string(e.Reason),
+		RetryAfterMs: e.RetryAfter.Milliseconds(),
+		Released:     released,
+		Ran:          e.Ran.String(),
+	}
+}
+
+// UnpackRefusal returns the ending that a refusal carries.
+func UnpackRefusal(m *wire.Refusal) call.Ending {
+	return call.Ending{
+		Ran:        call.ParseRan(m.GetRan()),
+		Reason:     call.Reason(m.GetReason()),
+		RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond,
+	}
+}
+
+// PackHeaders returns the message form of HTTP headers, without those left out.
+func PackHeaders(h http.Header, without map[string]bool) []*wire.Header {
+	var l []*wire.Header
+	for n, vs := range h {
+		if without[n] {
+			continue
+		}
+		for _, v := range vs {
+			l = append(l, &wire.Header{Name: n, Value: v})
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/io/plat/file.go
@@ -0,0 +1,55 @@
+package plat
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// File is a Source that is read from two local files.
+type File struct {
+	configuration string
+	instances     string
+	poll          time.Duration
+}
+
+var _ Source = (*File)(nil)
+
+// NewFile returns the platform whose values stand in the given files, which are
+// looked at once every poll interval while a call waits.
+func NewFile(configuration, instances string, poll time.Duration) *File {
+	return &File{configuration: configuration, instances: instances, poll: poll}
+}
+
+// Configuration implements Source.
+func (f *File) Configuration(ctx context.Context, tag string) (Text, error) {
+	return f.wait(ctx, f.configuration, tag)
+}
+
+// Instances implements Source.
+func (f *File) Instances(ctx context.Context, tag string) (Text, error) {
+	return f.wait(ctx, f.instances, tag)
+}
+
+func (f *File) wait(ctx context.Context, file, tag string) (Text, error) {
+	t := time.NewTicker(f.poll)
+	defer t.Stop()
+	for {
+		b, err := os.ReadFile(file)
+		if err != nil {
+			return Text{}, fmt.Errorf("platform file: %w", err)
+		}
+		if g := strconv.FormatUint(xxhash.Sum64(b), 16); g != tag {
+			return Text{Body: b, Tag: g}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return Text{}, fmt.Errorf("platform file: %w", ctx.Err())
+		case <-t.C:
+		}
+	}
+}
