Property tests of the gate and of the whole request life, and what they found

Cause: the first gate refused a middle tier while a lower one ran, when its queue was full (: tier 2 shed while tier 3 runs), and held a request past its deadline behind a higher tier that was not urgent. Both were found by the new test before the change. Change: an arrival is queued first and the queue is trimmed after; whoever is to be shed first takes the slot of a running lower tier. Every tier's urgent head makes way, and the slot goes to the head of the whole queue.

--- a/core/call/ticket_test.go
+++ b/core/call/ticket_test.go
@@ -8,10 +8,11 @@
 	"pgregory.net/rapid"
 
 	"kingcupstand/core/call"
+	"kingcupstand/internal/prop"
 )
 
 func TestTicketRoundTrip(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	prop.Check(t, func(t *rapid.T) {
 		n := [call.NonceSize]byte(rapid.SliceOfN(rapid.Byte(), call.NonceSize, call.NonceSize).Draw(t, "nonce"))
 		k := call.NewTicket(
 			rapid.StringMatching(`[a-z0-9-]{1,40}`).Draw(t, "target"),
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -210,14 +210,8 @@
 	return call.Ending{}, true
 }
 
-// admit queues j, or sheds the lowest tier's work to make room for it.
+// admit queues j, unless it would be late behind the work that goes before it.
 func (g *Gate) admit(now time.Duration, j *job) {
-	for g.queue.full(j, g.limits.Queue) {
-		if !g.makeRoom(now, j.terms.Rank) {
-			g.shed(now, j)
-			return
-		}
-	}
 	if g.hopeless(now, j) {
 		g.shed(now, j)
 		return
@@ -225,6 +219,27 @@
 	g.jobs[j.offer.Conn] = j
 	g.queue.push(j, g.speed.own(j.offer))
 	g.emit(Hold{Conn: j.offer.Conn})
+	g.trim(now)
+}
+
+// trim brings the queue back to its limit. Before a request is shed, running
+// requests of lower tiers give their slots to the queue.
+func (g *Gate) trim(now time.Duration) {
+	for {
+		j := g.queue.excess(g.limits.Queue)
+		if j == nil {
+			return
+		}
+		v := g.victim(j.terms.Rank)
+		if v == nil {
+			g.shed(now, j)
+			continue
+		}
+		g.cancel(v, call.ReasonPreempted)
+		if n := g.next(now); n != nil {
+			g.start(now, n)
+		}
+	}
 }
 
 // hopeless reports whether j would miss its deadline behind the work that goes
@@ -237,23 +252,6 @@
 	return now+w+g.speed.own(j.offer) > j.deadline
 }
 
-// makeRoom takes one place of a lower tier than r, queued or running. It reports
-// false if there is none.
-func (g *Gate) makeRoom(now time.Duration, r call.Rank) bool {
-	if v := g.queue.last(r); v != nil {
-		g.shed(now, v)
-		return true
-	}
-	v := g.victim(r)
-	if v == nil {
-		return false
-	}
-	g.cancel(v, call.ReasonPreempted)
-	h := g.queue.first()
-	g.start(now, h)
-	return true
-}
-
 // release refuses j and binds this agent never to dispatch it.
 func (g *Gate) release(j *job, r call.Reason) {
 	g.forget(j)
--- a/core/gate/pump.go
+++ b/core/gate/pump.go
@@ -14,21 +14,19 @@
 )
 
 // pump refuses what has become hopeless, fills free slots in tier order and
-// preempts running lower tiers for requests that are about to become hopeless.
+// makes way for requests that are about to become hopeless.
 func (g *Gate) pump(now time.Duration) {
-	if g.draining {
-		return
-	}
-	g.dropHopeless(now)
-	for {
+	for !g.draining {
+		g.dropHopeless(now)
 		j := g.next(now)
-		if j == nil {
+		switch {
+		case j == nil:
 			return
-		}
-		if !g.fits(j) && !g.preempt(now, j) {
+		case g.fits(j):
+			g.start(now, j)
+		case !g.makeWay(now):
 			return
 		}
-		g.start(now, j)
 	}
 }
 
@@ -42,14 +40,18 @@
 	return j
 }
 
+// slack returns how long j can still wait.
+func (g *Gate) slack(now time.Duration, j *job) time.Duration {
+	return j.deadline - now - g.speed.own(j.offer)
+}
+
 // dropHopeless refuses queued requests that would be late even if dispatched
-// now. While a lower tier is present they are kept: they run late rather than
-// being shed before the lower tier.
+// now. While a lower tier runs they are kept: it gives way first.
 func (g *Gate) dropHopeless(now time.Duration) {
 	for _, l := range g.queue.lanes {
 		for {
 			j, ok := l.early.Peek()
-			if !ok || now+g.speed.own(j.offer) <= j.deadline || g.victim(l.rank) != nil {
+			if !ok || g.slack(now, j) >= 0 || g.victim(l.rank) != nil {
 				break
 			}
 			g.shed(now, j)
@@ -57,20 +59,25 @@
 	}
 }
 
-// preempt cuts running lower-tier work until j fits, if j is about to become
-// hopeless. It reports whether j fits.
-func (g *Gate) preempt(now time.Duration, j *job) bool {
-	own := g.speed.own(j.offer)
-	slack := j.deadline - now - own
-	if slack > max(own/slackDivisor, minSlack) {
-		return false
-	}
-	for !g.fits(j) {
-		v := g.victim(j.terms.Rank)
-		if v == nil {
-			return false
+// makeWay cuts one running request that stands in the way of an urgent one of a
+// higher tier. The freed slot goes to whatever is first in the queue, so that an
+// urgent request of a middle tier does not overtake a higher one. It reports
+// false if there is nothing to cut.
+func (g *Gate) makeWay(now time.Duration) bool {
+	for _, l := range g.queue.lanes {
+		j, ok := l.early.Peek()
+		if !ok || !g.urgent(now, j) {
+			continue
+		}
+		if v := g.victim(l.rank); v != nil {
+			g.cancel(v, call.ReasonPreempted)
+			return true
 		}
-		g.cancel(v, call.ReasonPreempted)
 	}
-	return true
+	return false
+}
+
+// urgent reports whether j is about to become hopeless.
+func (g *Gate) urgent(now time.Duration, j *job) bool {
+	return g.slack(now, j) <= max(g.speed.own(j.offer)/slackDivisor, minSlack)
 }
--- a/core/gate/queue.go
+++ b/core/gate/queue.go
@@ -13,8 +13,9 @@
 	rank call.Rank
 	// early gives the earliest deadline, which is dispatched first.
 	early *heap.Heap[*job]
-	// late gives the latest deadline among jobs that may be shed.
-	late *heap.Heap[*job]
+	// late and patient give the latest deadline among jobs that may be shed, and
+	// among jobs that must wait.
+	late, patient *heap.Heap[*job]
 	// work is the predicted time of the lane's jobs on one slot.
 	work time.Duration
 }
@@ -40,11 +41,8 @@
 	if ok {
 		return q.lanes[i]
 	}
-	l := &lane{
-		rank:  r,
-		early: heap.New(earlier),
-		late:  heap.New(func(a, b *job) bool { return earlier(b, a) }),
-	}
+	later := func(a, b *job) bool { return earlier(b, a) }
+	l := &lane{rank: r, early: heap.New(earlier), late: heap.New(later), patient: heap.New(later)}
 	q.lanes = slices.Insert(q.lanes, i, l)
 	return l
 }
@@ -57,13 +55,17 @@
 	return a.seq < b.seq
 }
 
-// full reports whether the queue has no place for j. Jobs that must wait have
-// places of their own, so that they can't keep a higher tier out.
-func (q *queue) full(j *job, limit int) bool {
-	if j.terms.Wait {
-		return q.waiting >= limit
+// excess returns the job that is shed first if there are more than limit jobs, or
+// nil. Jobs that must wait have as many places of their own, so that they can't
+// keep a higher tier out.
+func (q *queue) excess(limit int) *job {
+	if q.count > limit {
+		return q.last(0)
+	}
+	if q.waiting > limit {
+		return q.lastWaiting()
 	}
-	return q.count >= limit
+	return nil
 }
 
 // push adds a job whose predicted time at the target is own.
@@ -74,6 +76,7 @@
 	j.early = l.early.Push(j)
 	l.work += own
 	if j.terms.Wait {
+		j.late = l.patient.Push(j)
 		q.waiting++
 		return
 	}
@@ -91,6 +94,7 @@
 	l.early.Remove(j.early)
 	l.work -= j.own
 	if j.terms.Wait {
+		l.patient.Remove(j.late)
 		q.waiting--
 		return
 	}
@@ -108,8 +112,8 @@
 	return nil
 }
 
-// last returns the queued job below rank r that is shed first, or nil. Jobs that
-// must wait are not shed.
+// last returns the queued job below rank r that is shed first, or nil. No tier
+// is above rank 0. Jobs that must wait are not shed.
 func (q *queue) last(r call.Rank) *job {
 	for _, l := range slices.Backward(q.lanes) {
 		if !l.rank.Below(r) {
@@ -122,6 +126,16 @@
 	return nil
 }
 
+// lastWaiting returns the waiting job with the lowest tier and latest deadline.
+func (q *queue) lastWaiting() *job {
+	for _, l := range slices.Backward(q.lanes) {
+		if j, ok := l.patient.Peek(); ok {
+			return j
+		}
+	}
+	return nil
+}
+
 // ahead returns the predicted time of all work that goes before j.
 func (q *queue) ahead(j *job) time.Duration {
 	var w time.Duration
--- /dev/null
+++ b/core/offer/life_test.go
@@ -0,0 +1,101 @@
+package offer_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"kingcupstand/core/call"
+	"kingcupstand/core/offer"
+)
+
+// kinds are the frames that testdata/life.txt names.
+var kinds = map[string]offer.Kind{
+	"queued":     offer.Queued{},
+	"dispatched": offer.Dispatched{},
+	"head":       offer.Head{},
+	"data":       offer.Data{},
+	"whole":      offer.Finished{Whole: true},
+	"refused":    offer.Refused{Ending: call.NotRun(call.ReasonOverload), Released: true},
+	"foreign":    offer.Refused{Ending: call.Unknown(call.ReasonWrongIncarnation)},
+}
+
+// script plays one case of testdata/life.txt.
+type script struct {
+	life   *offer.Life
+	number uint32
+}
+
+// id returns the id of the offer with the given number.
+func id(number uint32) call.ID { return call.ID(fmt.Sprint("id-", number)) }
+
+func (s *script) event(line string) (offer.Event, bool) {
+	f := strings.Fields(line)
+	switch f[0] {
+	case "offer":
+		if s.life == nil {
+			s.life = offer.New(f[1] == "pinned")
+		}
+		s.number = s.life.Offer(id(s.number+1), f[1] == "minted")
+		return nil, false
+	case "frame":
+		var number uint32
+		var sequence uint64
+		_, _ = fmt.Sscan(f[1]+" "+f[2], &number, &sequence)
+		return offer.Frame{ID: id(number), Number: number, Sequence: sequence, Kind: kinds[f[3]]}, true
+	case "lost":
+		var number uint32
+		_, _ = fmt.Sscan(f[1], &number)
+		return offer.Lost{Number: number}, true
+	case "not-sent":
+		return offer.NotSent{}, true
+	case "shed":
+		return offer.Shed{Ending: call.NotRun(call.ReasonOverload)}, true
+	default:
+		return offer.GiveUp{Reason: call.ReasonDeadline}, true
+	}
+}
+
+func describe(a offer.Action) string {
+	f, ok := a.(offer.Finish)
+	if !ok {
+		return strings.ToLower(strings.TrimPrefix(fmt.Sprintf("%T", a), "offer."))
+	}
+	how := string(f.Ending.Reason)
+	if f.Ending.Whole {
+		how = "whole"
+	}
+	return fmt.Sprintf("finish %s ran=%s", how, f.Ending.Ran)
+}
+
+// TestLife plays the cases of testdata/life.txt.
+func TestLife(t *testing.T) {
+	b, err := os.ReadFile("testdata/life.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{}
+	name := ""
+	for i, line := range strings.Split(string(b), "\n") {
+		switch {
+		case line == "" || line[0] == '#':
+			continue
+		case strings.HasPrefix(line, "case "):
+			name = line
+			s = &script{}
+			continue
+		}
+		in, want, _ := strings.Cut(line, "->")
+		e, ok := s.event(in)
+		if !ok {
+			continue
+		}
+		if s.life == nil {
+			s.life = offer.New(false)
+		}
+		if got := describe(s.life.Step(e)); got != strings.TrimSpace(want) {
+			t.Errorf("life.txt:%d: %s: %s: got %q, expected %q", i+1, name, strings.TrimSpace(in), got, strings.TrimSpace(want))
+		}
+	}
+}
