load and trial: a seeded load of both deployments, audited against the targets' journals

trial runs two entries, four unlike engines with an agent each, a plain service and the platform in one process.

--- a/core/conf/parse.go
+++ b/core/conf/parse.go
@@ -119,6 +119,9 @@
 	case protoreflect.Uint32Kind:
 		p.whole(path, v, math.MaxUint32)
 	case protoreflect.Uint64Kind:
+		if t, ok := v.(string); ok {
+			v = json.Number(t) // the form that JSON gives to 64-bit numbers
+		}
 		p.whole(path, v, math.MaxInt64)
 	default:
 		p.add(path, "has a kind that settings do not use: %s", f.Kind())
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -110,6 +110,8 @@
 	p.add("entry", "Run an entry, which callers speak to", &entryCommand{streams: s})
 	p.add("agent", "Run an agent, the gate to one target", &agentCommand{streams: s})
 	p.add("check", "Check settings, contracts and instance lists", &checkCommand{streams: s})
+	p.add("load", "Send a load to entries and report what became of it", &loadCommand{streams: s})
+	p.add("trial", "Run the whole system in this process, with a load", &trialCommand{streams: s})
 	p.add("hash-key", "Print the hash of a key read from standard input", &hashCommand{streams: s})
 	return p.run(args)
 }
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -191,7 +191,7 @@
 		}
 		e.store(s)
 	}
-	t := fmt.Sprintf("%x.%d ", s.hash, s.emitted)
+	t := Token(s.hash, s.emitted)
 	s.emitted++
 	s.tokens <- t
 	e.journal.update(func(j *Journal) { j.Output++ })
@@ -274,7 +274,7 @@
 
 // submit gives a request to the engine.
 func (e *Engine) submit(s *sequence) {
-	e.journal.update(func(j *Journal) { j.Runs[s.id]++ })
+	e.journal.ran(s.id, s.hash)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.closed {
@@ -299,5 +299,8 @@
 	e.journal.update(func(j *Journal) { j.Wasted += s.computed })
 }
 
+// Token returns the n-th token of the answer to a prompt.
+func Token(fingerprint uint64, n int) string { return fmt.Sprintf("%x.%d ", fingerprint, n) }
+
 // Fingerprint identifies a prompt in the tokens that answer it.
 func Fingerprint(text string) uint64 { return xxhash.Sum64String(text) }
--- a/internal/stand/service.go
+++ b/internal/stand/service.go
@@ -32,11 +32,11 @@
 
 func (s *Service) call(w http.ResponseWriter, q *http.Request) {
 	id := q.Header.Get("X-Request-Id")
-	s.journal.update(func(j *Journal) { j.Runs[id]++ })
 	b, err := io.ReadAll(http.MaxBytesReader(w, q.Body, maxBody))
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	s.journal.ran(id, Fingerprint(string(b)))
 	time.Sleep(s.delay)
 	s.journal.update(func(j *Journal) { j.Finished[id]++ })
 	writeJSON(w, http.StatusOK, map[string]string{"method": q.Method, "path": q.URL.RequestURI(), "body": string(b)})
--- a/internal/stand/stand.go
+++ b/internal/stand/stand.go
@@ -13,7 +13,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"strconv"
 	"sync"
 )
 
@@ -21,6 +23,9 @@
 type Journal struct {
 	// Runs counts the dispatches of each request id.
 	Runs map[string]int `json:"runs"`
+	// Works counts the dispatches of each content, by its Fingerprint in
+	// hexadecimal. Two requests of a test never have the same content.
+	Works map[string]int `json:"works"`
 	// Finished counts the whole answers of each request id.
 	Finished map[string]int `json:"finished"`
 	// Prefill, Cached and Wasted are prompt tokens: computed, found in the prefix
@@ -39,7 +44,11 @@
 }
 
 func newJournal() *journal {
-	return &journal{j: Journal{Runs: make(map[string]int), Finished: make(map[string]int)}}
+	return &journal{j: Journal{
+		Runs:     make(map[string]int),
+		Works:    make(map[string]int),
+		Finished: make(map[string]int),
+	}}
 }
 
 func (j *journal) update(f func(*Journal)) {
@@ -53,19 +62,23 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	c := j.j
-	c.Runs = clone(j.j.Runs)
-	c.Finished = clone(j.j.Finished)
+	c.Runs = maps.Clone(j.j.Runs)
+	c.Works = maps.Clone(j.j.Works)
+	c.Finished = maps.Clone(j.j.Finished)
 	return c
 }
 
-func clone(m map[string]int) map[string]int {
-	c := make(map[string]int, len(m))
-	for k, v := range m {
-		c[k] = v
-	}
-	return c
+// ran notes the dispatch of a request.
+func (j *journal) ran(id string, work uint64) {
+	j.update(func(j *Journal) {
+		j.Runs[id]++
+		j.Works[Key(work)]++
+	})
 }
 
+// Key returns the form of a fingerprint in a Journal.
+func Key(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -127,10 +127,11 @@
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen for http: %w", err), p.Close())
 	}
-	return a.serve(ctx, stop, p, h)
+	return a.Serve(ctx, stop, p, h)
 }
 
-func (a *Agent) serve(ctx context.Context, stop <-chan struct{}, p, h net.Listener) error {
+// Serve is Run on listeners for peers and for HTTP, which it closes.
+func (a *Agent) Serve(ctx context.Context, stop <-chan struct{}, p, h net.Listener) error {
 	r, err := httpd.New(a.settings.Name, a.node.Routes(), nil)
 	if err != nil {
 		return err
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -126,10 +126,11 @@
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen for http: %w", err), p.Close())
 	}
-	return e.serve(ctx, stop, p, h)
+	return e.Serve(ctx, stop, p, h)
 }
 
-func (e *Entry) serve(ctx context.Context, stop <-chan struct{}, p, h net.Listener) error {
+// Serve is Run on listeners for peers and for HTTP, which it closes.
+func (e *Entry) Serve(ctx context.Context, stop <-chan struct{}, p, h net.Listener) error {
 	r, err := httpd.New(e.settings.Name, append(e.node.Routes(), e.routes()...), http.HandlerFunc(e.other))
 	if err != nil {
 		return err
