--- a/core/conf/document.go
+++ b/core/conf/document.go
@@ -25,8 +25,8 @@
 // there are problems.
 func ParseDocument(text []byte) (*Config, []Problem) {
 	d := &spec.Document{}
-	ps := decode(text, d)
-	if len(ps) == 0 {
+	ps, readable := decode(text, d)
+	if readable {
 		ps.document(d)
 	}
 	if len(ps) > 0 {
--- a/core/conf/instances.go
+++ b/core/conf/instances.go
@@ -15,10 +15,7 @@
 // ParseInstances reads and checks an instance list.
 func ParseInstances(text []byte) (*spec.Instances, []Problem) {
 	l := &spec.Instances{}
-	ps := decode(text, l)
-	if len(ps) > 0 {
-		return nil, ps
-	}
+	ps, _ := decode(text, l)
 	seen := make(map[string]bool)
 	for i, n := range l.Instances {
 		at := fmt.Sprintf("instances[%d]", i)
--- a/core/conf/settings.go
+++ b/core/conf/settings.go
@@ -39,12 +39,11 @@
 // defaults. Settings with a target belong to an agent, others to an entry.
 func ParseSettings(text []byte) (*spec.Settings, []Problem) {
 	s := &spec.Settings{}
-	ps := decode(text, s)
-	if len(ps) > 0 {
-		return nil, ps
+	ps, readable := decode(text, s)
+	if readable {
+		fill(s)
+		ps.settings(s)
 	}
-	fill(s)
-	ps.settings(s)
 	if len(ps) > 0 {
 		return nil, ps
 	}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -73,15 +73,18 @@
 
 // run executes the subcommand that the arguments name and returns the exit status.
 func (p *parser) run(args []string) int {
-	_, err := p.flags.ParseArgs(args)
-	if err == nil && p.flags.Active == nil {
-		if p.root.Version {
-			fmt.Fprintln(p.out, p.flags.Name, Version)
-			return exitDone
-		}
-		err = errNoCommand
+	rest, err := p.flags.ParseArgs(args)
+	switch {
+	case err != nil || p.flags.Active != nil:
+		return p.status(err)
+	case len(rest) > 0:
+		return p.status(fmt.Errorf("unknown command %q: %w", rest[0], errNoCommand))
+	case p.root.Version:
+		fmt.Fprintln(p.out, p.flags.Name, Version)
+		return exitDone
+	default:
+		return p.status(errNoCommand)
 	}
-	return p.status(err)
 }
 
 // status prints an error and returns the exit status for it.
