--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -105,25 +105,25 @@
 	return t.Deadline
 }
 
-func (r *TierReport) count(o Outcome, limit time.Duration) {
-	r.Sent++
-	if t := o.Twin; t != nil && !o.Whole && t.Whole {
-		o = *t // either submission may be the one that is answered
+func (t *TierReport) count(o Outcome, limit time.Duration) {
+	t.Sent++
+	if s := o.Twin; s != nil && !o.Whole && s.Whole {
+		o = *s // either submission may be the one that is answered
 	}
 	switch {
 	case o.Whole && o.Last <= limit:
-		r.Good++
+		t.Good++
 	case o.Whole:
-		r.Late++
+		t.Late++
 	case o.Ran == "no":
-		r.Refused++
+		t.Refused++
 	case o.Ran == "yes":
-		r.Cut++
+		t.Cut++
 	default:
-		r.Unknown++
+		t.Unknown++
 	}
 	if !o.Whole {
-		r.Codes[o.Code]++
+		t.Codes[o.Code]++
 	}
 }
 
--- a/internal/trial/document.go
+++ b/internal/trial/document.go
@@ -1,17 +1,11 @@
 package trial
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/encoding/protojson"
-	"google.golang.org/protobuf/proto"
-	"sigs.k8s.io/yaml"
-
 	"kingcupstand/core/conf"
 	"kingcupstand/internal/load"
-	"kingcupstand/internal/stand"
 	"kingcupstand/schema/spec"
 )
 
@@ -70,57 +64,3 @@
 	}
 	return c
 }
-
-// publish gives the platform the document and the instance list.
-func (b *bed) publish() error {
-	revision := uint64(1)
-	if !b.event.IsZero() {
-		revision = 2
-	}
-	d, err := toYAML(document(b.options.Workload, revision, b.event))
-	if err != nil {
-		return err
-	}
-	l, err := toYAML(b.list)
-	if err != nil {
-		return err
-	}
-	b.platform.Publish(stand.Configuration, d)
-	b.platform.Publish(stand.InstanceList, l)
-	return nil
-}
-
-func toYAML(m proto.Message) ([]byte, error) {
-	j, err := protojson.Marshal(m)
-	if err != nil {
-		return nil, fmt.Errorf("trial: %w", err)
-	}
-	y, err := yaml.JSONToYAML(j)
-	if err != nil {
-		return nil, fmt.Errorf("trial: %w", err)
-	}
-	return y, nil
-}
-
-func (b *bed) settings(platform, name, dc string) *spec.Settings {
-	return &spec.Settings{
-		Name:       name,
-		Region:     region,
-		DataCentre: dc,
-		Platform:   &spec.Platform{Url: platform},
-		Logs:       &spec.Logs{Level: b.options.Level},
-	}
-}
-
-// checked passes settings through the check that a process makes of its file.
-func checked(s *spec.Settings) (*spec.Settings, error) {
-	y, err := toYAML(s)
-	if err != nil {
-		return nil, err
-	}
-	c, ps := conf.ParseSettings(y)
-	if len(ps) > 0 {
-		return nil, fmt.Errorf("trial: settings of %s: %s", s.Name, ps[0])
-	}
-	return c, nil
-}
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -140,8 +140,8 @@
 	if err != nil {
 		return err
 	}
-	s := httpd.NewServer(r, nil)
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	s := httpd.NewServer(inner, r, nil)
 	var g sync.WaitGroup
 	errs := make(chan error, 2)
 	g.Go(func() { errs <- link.Serve(inner, p, tc, a, a.node) })
--- a/io/entry/api.go
+++ b/io/entry/api.go
@@ -31,6 +31,8 @@
 const (
 	// defaultBody is the body limit of contracts that set none, in bytes.
 	defaultBody = 4 << 20
+	// smallBody is the largest body that goes along with an offer, in bytes.
+	smallBody = 64 << 10
 	// bytesPerToken estimates tokens from text.
 	bytesPerToken = 4
 	// defaultOutput is the output assumed of requests that set no limit, in tokens.
@@ -164,13 +166,15 @@
 	Messages            []json.RawMessage `json:"messages"`
 }
 
-// output returns the output tokens to plan for.
-func (c chatRequest) output() int {
+// output returns the output tokens to plan for, where the contract allows so many.
+func (c chatRequest) output(limit uint32) int {
 	switch {
 	case c.MaxCompletionTokens > 0:
 		return c.MaxCompletionTokens
 	case c.MaxTokens > 0:
 		return c.MaxTokens
+	case limit > 0:
+		return min(defaultOutput, int(limit))
 	default:
 		return defaultOutput
 	}
@@ -212,7 +216,7 @@
 	r.buffered = !c.Stream
 	r.want.Model = c.Model
 	r.want.Prompt = max(len(b)/bytesPerToken, 1)
-	r.want.Output = c.output()
+	r.want.Output = c.output(k.Limits().OutputTokens)
 	r.want.Prefix = c.prefix(k.Workspace())
 	r.path = chatPath
 	if f := sized(k, r.want); f != nil {
@@ -252,12 +256,28 @@
 	if q.URL.RawQuery != "" {
 		r.path += "?" + q.URL.RawQuery
 	}
-	if q.ContentLength != 0 {
-		r.stream = http.MaxBytesReader(w, q.Body, bodyLimit(k))
+	if f := r.setBody(w, q); f != nil {
+		return f
 	}
 	return e.serveRequest(q, r)
 }
 
+// setBody takes a plain service's request body. Small ones go along with the
+// offer. net/http notices that a caller has gone only once the body is read, so a
+// caller with a large body is missed no earlier than at the dispatch.
+func (r *request) setBody(w http.ResponseWriter, q *http.Request) *fault {
+	if q.ContentLength < 0 || q.ContentLength > smallBody {
+		if q.ContentLength > bodyLimit(r.contract) {
+			return tooLarge(r.contract)
+		}
+		r.stream = http.MaxBytesReader(w, q.Body, bodyLimit(r.contract))
+		return nil
+	}
+	b, f := r.entry.readBody(w, q, r.contract)
+	r.body = b
+	return f
+}
+
 // accept reads the terms of a request from its headers and the contract.
 func (e *Entry) accept(w http.ResponseWriter, q *http.Request, k conf.Contract) (*request, *fault) {
 	r := &request{entry: e, writer: w, contract: k, method: q.Method, header: q.Header, arrived: time.Now()}
@@ -350,11 +370,15 @@
 	return defaultBody
 }
 
+func tooLarge(k conf.Contract) *fault {
+	return refuse(http.StatusRequestEntityTooLarge, typeInvalid, "body-too-large",
+		fmt.Sprintf("the contract allows bodies of %d bytes", bodyLimit(k)))
+}
+
 func (e *Entry) readBody(w http.ResponseWriter, q *http.Request, k conf.Contract) ([]byte, *fault) {
 	b, err := io.ReadAll(http.MaxBytesReader(w, q.Body, bodyLimit(k)))
 	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
-		return nil, refuse(http.StatusRequestEntityTooLarge, typeInvalid, "body-too-large",
-			fmt.Sprintf("the contract allows bodies of %d bytes", bodyLimit(k)))
+		return nil, tooLarge(k)
 	}
 	if err != nil {
 		return nil, refuse(http.StatusBadRequest, typeInvalid, "body-cut", "the body ended early")
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -62,7 +62,7 @@
 	a.suspect()
 	switch x := a.request.life.Step(offer.NotSent{}).(type) {
 	case offer.Finish:
-		return x.Ending.WithRetryAfter(minRetry), true
+		return x.Ending, true
 	default:
 		return call.Ending{}, false
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -143,8 +143,8 @@
 	if err != nil {
 		return err
 	}
-	s := httpd.NewServer(r, ct)
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	s := httpd.NewServer(inner, r, ct)
 	var g sync.WaitGroup
 	errs := make(chan error, 2)
 	g.Go(func() { errs <- link.Serve(inner, p, pt, nil, e.node) })
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -75,7 +75,7 @@
 	defer r.span.End()
 	r.life = offer.New(r.pinned)
 	r.answer = newAnswer(r.writer, r.buffered)
-	e := r.loop(ctx)
+	e := withRetry(r.loop(ctx))
 	r.count(e)
 	if e.Whole {
 		return r.answer.finish()
@@ -87,6 +87,17 @@
 	return f
 }
 
+// withRetry tells the caller when to come back where a later submission can get a
+// better answer: under a new id if the call may be repeated, else under the same.
+func withRetry(e call.Ending) call.Ending {
+	switch e.Reason {
+	case call.ReasonLost, call.ReasonStalled, call.ReasonDeadline, call.ReasonCut, call.ReasonTarget, call.ReasonPreempted:
+		return e.WithRetryAfter(max(e.RetryAfter, minRetry))
+	default:
+		return e
+	}
+}
+
 // count reports the ending to logs, metrics and the trace.
 func (r *request) count(e call.Ending) {
 	how := "answered"
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	h, err := httpd.New("entry-1", routes, notFound)
-//	s := httpd.NewServer(h, tlsConfig)
+//	s := httpd.NewServer(ctx, h, tlsConfig)
 //	go s.Serve(listener)
 //	err = s.Stop(ctx)
 //
@@ -66,9 +66,11 @@
 	http *http.Server
 }
 
-// NewServer returns a server. A nil config means plain text.
-func NewServer(h http.Handler, c *tls.Config) *Server {
+// NewServer returns a server whose requests are canceled when ctx ends. A nil
+// config means plain text.
+func NewServer(ctx context.Context, h http.Handler, c *tls.Config) *Server {
 	return &Server{http: &http.Server{
+		BaseContext:       func(net.Listener) context.Context { return ctx },
 		Handler:           h,
 		TLSConfig:         c,
 		MaxHeaderBytes:    maxHeader,
