--- /dev/null
+++ b/core/gate/bench_test.go
@@ -0,0 +1,45 @@
+package gate
+
+import (
+	"testing"
+	"time"
+)
+
+// queuedJobs is the length of the queue in the benchmarks.
+const queuedJobs = 10_000
+
+// fullGate returns a gate with a long queue and the next conn.
+func fullGate() (*Gate, Conn) {
+	l := Limits{Batch: 1, BatchTokens: 1000, Queue: 2 * queuedJobs, IDs: 1 << 30, IDLife: 2 * time.Hour, ShedHold: time.Second}
+	g := New("t", testInc, l, terms{cuttable: true, lowest: 3}, Speed{Prefill: 1, Step: 1})
+	for c := Conn(1); c <= queuedJobs; c++ {
+		g.Step(0, Arrive{Offer: longOffer(c)})
+	}
+	return g, queuedJobs + 1
+}
+
+func longOffer(c Conn) Offer {
+	return Offer{
+		Conn: c, ID: testID(int(c)), Workspace: "w", Tier: string('1' + byte(c%3)),
+		Budget: time.Hour + time.Duration(c*7919%1000)*time.Second, Prompt: 10, Output: 10, Repeatable: true,
+	}
+}
+
+// BenchmarkQueue is the cost of one arrival and one departure at 10,000 queued.
+func BenchmarkQueue(b *testing.B) {
+	g, c := fullGate()
+	o := longOffer(c)
+	b.ReportAllocs()
+	for b.Loop() {
+		g.Step(0, Arrive{Offer: o})
+		g.Step(0, Depart{Conn: o.Conn})
+	}
+}
+
+// BenchmarkTick is the cost of letting time pass at 10,000 queued.
+func BenchmarkTick(b *testing.B) {
+	g, _ := fullGate()
+	for b.Loop() {
+		g.Step(0, Tick{})
+	}
+}
--- /dev/null
+++ b/core/route/bench_test.go
@@ -0,0 +1,87 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"kingcupstand/core/gate"
+	"kingcupstand/core/route"
+)
+
+// Size of the fleet in two years.
+const (
+	fleetTargets = 660
+	fleetModels  = 11
+)
+
+// fleet returns a router that has heard of all targets.
+func fleet() *route.Router {
+	r := route.New("dc-1", "north", 1)
+	var ts []route.Target
+	for i := range fleetTargets {
+		ts = append(ts, route.Target{
+			Name: fmt.Sprintf("t%d", i), Peer: fmt.Sprintf("10.0.0.%d:1", i),
+			Region: []string{"north", "south"}[i%2], DataCentre: fmt.Sprintf("dc-%d", i%5+1),
+			Models: []string{fmt.Sprintf("m%d", i%fleetModels)},
+		})
+	}
+	r.Apply(ts)
+	for i, t := range ts {
+		r.Report(time.Second, t.Name, gate.Load{
+			Incarnation: 1, Uptime: time.Second, Batch: 16, Running: i % 17, RunningTokens: 100 * (i % 17),
+			Tiers: []gate.TierLoad{{Rank: 1, Work: time.Duration(i) * time.Millisecond}, {Rank: 3, Work: time.Second}},
+			Speed: gate.Speed{Prefill: 100 * time.Microsecond, Step: time.Duration(3+i%4) * time.Millisecond},
+		})
+	}
+	return r
+}
+
+var wants = func() []route.Want {
+	var ws []route.Want
+	for i := range 1000 {
+		ws = append(ws, route.Want{Model: fmt.Sprintf("m%d", i%fleetModels), Rank: 2, Prompt: 100 + i, Output: 50, Prefix: uint64(i%200 + 1)})
+	}
+	return ws
+}()
+
+// decide makes one routing decision and counts the offer.
+func decide(r *route.Router, i int) error {
+	w := wants[i%len(wants)]
+	now := time.Second + time.Duration(i)*time.Millisecond
+	c, err := r.Choose(now, w, nil)
+	if err == nil {
+		r.Sent(now, c.Target.Name, w)
+	}
+	return err
+}
+
+// BenchmarkChoose is the cost of one decision over 660 replicas of 11 models.
+func BenchmarkChoose(b *testing.B) {
+	r := fleet()
+	i := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := decide(r, i); err != nil {
+			b.Fatal(err)
+		}
+		i++
+	}
+}
+
+// TestChooseAllocations holds a decision to no allocation.
+func TestChooseAllocations(t *testing.T) {
+	r := fleet()
+	i := 0
+	for range 2000 {
+		_ = decide(r, i)
+		i++
+	}
+	n := testing.AllocsPerRun(1000, func() {
+		_ = decide(r, i)
+		i++
+	})
+	if n != 0 {
+		t.Errorf("%v allocations in a decision, expected none", n)
+	}
+}
--- /dev/null
+++ b/internal/fleet/bench_test.go
@@ -0,0 +1,97 @@
+package fleet_test
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"kingcupstand/internal/fleet"
+	"kingcupstand/schema/spec"
+)
+
+// Rate and number of the calls of BenchmarkOverhead.
+const (
+	overheadPace  = 2 * time.Millisecond // 500 requests a second
+	overheadCalls = 2000
+)
+
+// BenchmarkOverhead compares a call to an engine that answers at once with the
+// same call through an entry and an agent, at 500 requests a second.
+func BenchmarkOverhead(b *testing.B) {
+	f, err := fleet.New(io.Discard, "error")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer f.Close()
+	h := http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		_, _ = io.Copy(io.Discard, q.Body)
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, `{"choices":[],"usage":{"prompt_tokens":1,"completion_tokens":1}}`)
+	})
+	u, err := f.Serve(h)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if _, err := f.Agent("engine-1", "dc-1", h, &spec.Target{Kind: "engine", Models: []string{"m"}, Batch: 64}); err != nil {
+		b.Fatal(err)
+	}
+	e, err := f.Entry("entry-1", "dc-1")
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := f.Publish(contracts(1)); err != nil {
+		b.Fatal(err)
+	}
+	if err := f.Ready(b.Context()); err != nil {
+		b.Fatal(err)
+	}
+	for ask(e.URL) == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	for b.Loop() {
+		direct, through := paced(u), paced(e.URL)
+		b.ReportMetric(float64(direct.Microseconds()), "direct-µs")
+		b.ReportMetric(float64(through.Microseconds()), "through-µs")
+		b.ReportMetric(float64((through - direct).Microseconds()), "added-µs")
+	}
+}
+
+var overheadClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
+// ask returns the time of one call, or 0 if it failed.
+func ask(base string) time.Duration {
+	t := time.Now()
+	q, err := http.NewRequest(http.MethodPost, base+"/v1/chat/completions", strings.NewReader(chat("m", 100, "")))
+	if err != nil {
+		return 0
+	}
+	q.Header.Set("Authorization", "Bearer "+testKey)
+	p, err := overheadClient.Do(q)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, p.Body)
+	_ = p.Body.Close()
+	if p.StatusCode != http.StatusOK {
+		return 0
+	}
+	return time.Since(t)
+}
+
+// paced returns the median time of calls that leave at a fixed rate.
+func paced(base string) time.Duration {
+	times := make([]time.Duration, overheadCalls)
+	var g sync.WaitGroup
+	start := time.Now()
+	for i := range times {
+		time.Sleep(time.Until(start.Add(time.Duration(i) * overheadPace)))
+		g.Go(func() { times[i] = ask(base) })
+	}
+	g.Wait()
+	slices.Sort(times)
+	return times[len(times)/2]
+}
--- a/internal/fleet/fault_test.go
+++ b/internal/fleet/fault_test.go
@@ -367,6 +367,11 @@
 		t.Errorf("a bad document brought revision %d into force", r)
 	}
 	b.until("the rejection is in the log", func() bool { return b.logged("document rejected") })
+	// Three processes watch two values; each change wakes every watch once, and
+	// while the service is down each is tried once a second.
+	if n := b.Platform.Reads(); n > 100 {
+		t.Errorf("the service was read %d times", n)
+	}
 }
 
 // TestContractRemoved removes a contract while its request waits.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -52,6 +52,8 @@
 // goroutine.
 type Fleet struct {
 	Platform *stand.Platform
+	// Settings, if set, changes the settings of processes before they start.
+	Settings func(*spec.Settings)
 	logs     io.Writer
 	level    string
 	url      string
@@ -170,6 +172,9 @@
 }
 
 func (f *Fleet) build(s *spec.Settings, build func(*spec.Settings, *telem.Telemetry) (server, error)) (*Process, server, error) {
+	if f.Settings != nil {
+		f.Settings(s)
+	}
 	y, err := YAML(s)
 	if err != nil {
 		return nil, nil, err
--- a/internal/fleet/helper_test.go
+++ b/internal/fleet/helper_test.go
@@ -69,7 +69,8 @@
 type bench struct {
 	*testing.T
 	*fleet.Fleet
-	logs *lines
+	logs   *lines
+	client *http.Client
 }
 
 // lines collects log lines.
@@ -98,7 +99,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(f.Close)
-	return &bench{T: t, Fleet: f, logs: l}
+	return &bench{T: t, Fleet: f, logs: l, client: &http.Client{}}
 }
 
 func contracts(revision uint64) *spec.Document {
@@ -193,7 +194,7 @@
 		n, v, _ := strings.Cut(h, ": ")
 		q.Header.Set(n, v)
 	}
-	p, err := (&http.Client{}).Do(q)
+	p, err := b.client.Do(q)
 	if err != nil {
 		return reply{err: err}
 	}
