--- a/internal/fleet/api_test.go
+++ b/internal/fleet/api_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"kingcupstand/schema/spec"
 )
 
 // chat returns the body of a chat completion with so many bytes of text.
@@ -20,7 +22,10 @@
 func TestAPIErrors(t *testing.T) {
 	b := newBench(t)
 	f := newFake(true)
-	b.service("intake-1", f, 8)
+	// The agent expects each call to take five seconds.
+	if _, err := b.Agent("intake-1", "dc-1", f, &spec.Target{Kind: "service", Service: "intake", StepUs: 5_000_000}); err != nil {
+		t.Fatal(err)
+	}
 	e := b.entry("entry-1")
 	b.begin(e)
 	const completions, intake = "/v1/chat/completions", "/services/intake/x"
@@ -43,7 +48,7 @@
 		{"unknown tier", "POST", completions, chat("m", 1, ""), "Kingcupstand-Tier: gold", 400, "unknown-tier"},
 		{"bad deadline", "POST", completions, chat("m", 1, ""), "Kingcupstand-Deadline-Ms: soon", 400, "bad-deadline"},
 		{"past deadline", "POST", completions, chat("m", 1, ""), "Kingcupstand-Deadline-Ms: 0", 504, "deadline-passed"},
-		{"unreachable deadline", "GET", intake, "", "Kingcupstand-Deadline-Ms: 1", 504, "deadline-unreachable"},
+		{"unreachable deadline", "GET", intake, "", "Kingcupstand-Deadline-Ms: 3000", 504, "deadline-unreachable"},
 		{"bad id", "POST", intake, "x", "Kingcupstand-Request-Id: mine", 400, "bad-request-id"},
 		{"no target", "POST", completions, chat("idle", 1, ""), "", 503, "no-target"},
 		{"unknown service", "GET", "/services/other/x", "", "", 404, "unknown-service"},
