Overload of an entry is backpressure; waiting tiers wait; a list that loses most instances is doubted

Cause: an entry at its limit refused a middle tier while it still served a lower one, and refused work that a contract says must wait while a higher tier was being shed. An empty instance list took all targets away at once.

--- a/core/conf/settings.go
+++ b/core/conf/settings.go
@@ -24,15 +24,15 @@
 
 // Defaults of settings that may be left out.
 const (
-	DefaultGraceSeconds = 60
-	DefaultStallMs      = 30_000
-	DefaultMaxRequests  = 4096
-	DefaultPollMs       = 1_000
-	DefaultBatch        = 16
-	DefaultBatchTokens  = 131_072
-	DefaultQueue        = 1_000
-	DefaultPrefillUs    = 100
-	DefaultStepUs       = 5_000
+	DefaultGraceSeconds   = 60
+	DefaultStallMs        = 30_000
+	DefaultMaxConnections = 4096
+	DefaultPollMs         = 1_000
+	DefaultBatch          = 16
+	DefaultBatchTokens    = 131_072
+	DefaultQueue          = 1_000
+	DefaultPrefillUs      = 100
+	DefaultStepUs         = 5_000
 )
 
 // ParseSettings reads and checks the settings of a process and fills in the
@@ -73,7 +73,7 @@
 	}
 	preset(&s.GraceSeconds, DefaultGraceSeconds)
 	preset(&s.StallMs, DefaultStallMs)
-	preset(&s.MaxRequests, DefaultMaxRequests)
+	preset(&s.MaxConnections, DefaultMaxConnections)
 	preset(&s.Platform.PollMs, DefaultPollMs)
 	if t := s.Target; t != nil {
 		preset(&t.Batch, DefaultBatch)
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -80,6 +80,8 @@
 	Model   string
 	Service string
 	Rank    call.Rank
+	// Wait is true if the request waits at an agent rather than being shed.
+	Wait bool
 	// Prompt and Output are estimates in tokens.
 	Prompt, Output int
 	// Prefix identifies the prompt's leading part; 0 if there is none.
@@ -276,7 +278,7 @@
 // Choose returns the target with the earliest predicted completion among a
 // sample of those that have not been tried.
 func (r *Router) Choose(now time.Duration, w Want, tried []string) (Choice, error) {
-	if s := r.sheds[w.key()]; now < s.until && w.Rank.Below(s.rank) {
+	if s := r.sheds[w.key()]; now < s.until && w.Rank.Below(s.rank) && !w.Wait {
 		return Choice{}, ErrShedding
 	}
 	g := r.groups[w.key()]
--- a/internal/fleet/fault_test.go
+++ b/internal/fleet/fault_test.go
@@ -355,6 +355,11 @@
 	if b.revision(e) != 5 || b.revision(a) != 5 {
 		t.Errorf("the stale service brought revisions %d and %d into force", b.revision(e), b.revision(a))
 	}
+	b.Platform.Publish(stand.InstanceList, []byte("version: 9\ninstances: []"))
+	b.until("the empty list is doubted", func() bool { return b.logged("instance list doubted") })
+	if r := b.send("GET", e.URL+"/services/intake/x", "x"); r.status != http.StatusOK {
+		t.Errorf("with an empty instance list: got %d %q %v", r.status, r.body, r.err)
+	}
 	b.Platform.SetDown(true)
 	six, err := fleet.YAML(contracts(6))
 	if err != nil {
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -141,7 +141,7 @@
 		return err
 	}
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	s := httpd.NewServer(inner, r, nil)
+	s := httpd.NewServer(inner, r, nil, int(a.settings.MaxConnections))
 	var g sync.WaitGroup
 	errs := make(chan error, 2)
 	g.Go(func() { errs <- link.Serve(inner, p, tc, a, a.node) })
--- a/io/entry/api.go
+++ b/io/entry/api.go
@@ -63,16 +63,12 @@
 // handler serves an authenticated caller. The fault it returns is written out.
 type handler func(w http.ResponseWriter, q *http.Request, k conf.Contract) *fault
 
-// handle authenticates the caller and bounds the requests in progress.
+// handle authenticates the caller and counts the requests in progress.
 func (e *Entry) handle(h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, q *http.Request) {
-		n := e.inflight.Add(1)
+		e.inflight.Add(1)
 		defer e.inflight.Add(-1)
 		k, f := e.authenticate(q)
-		if f == nil && n > int64(e.settings.MaxRequests) && !e.top(k, q) {
-			f = refuse(http.StatusServiceUnavailable, typeOverload, "entry-full", "this entry is at its limit")
-			f.RetryAfter = time.Second
-		}
 		if f == nil {
 			f = h(w, q, k)
 		}
@@ -83,13 +79,6 @@
 	}
 }
 
-// top reports whether a request is of the highest tier, which the entry's own
-// limit does not shed while lower tiers are in progress.
-func (e *Entry) top(k conf.Contract, q *http.Request) bool {
-	r, _ := e.node.Config().Rank(e.tierName(k, q))
-	return r == 1
-}
-
 func (e *Entry) authenticate(q *http.Request) (conf.Contract, *fault) {
 	key, ok := strings.CutPrefix(q.Header.Get("Authorization"), "Bearer ")
 	if !ok || key == "" {
@@ -285,7 +274,8 @@
 	if _, ok := k.Tier(r.tier); !ok {
 		return nil, refuse(http.StatusBadRequest, typeInvalid, "unknown-tier", fmt.Sprintf("the contract has no tier %q", r.tier))
 	}
-	r.want.Rank, _ = e.node.Config().Rank(r.tier)
+	t, _ := e.node.Config().Terms(k.Workspace(), r.tier)
+	r.want.Rank, r.want.Wait = t.Rank, t.Wait
 	if f := r.setDeadline(q); f != nil {
 		return nil, f
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -144,7 +144,7 @@
 		return err
 	}
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	s := httpd.NewServer(inner, r, ct)
+	s := httpd.NewServer(inner, r, ct, int(e.settings.MaxConnections))
 	var g sync.WaitGroup
 	errs := make(chan error, 2)
 	g.Go(func() { errs <- link.Serve(inner, p, pt, nil, e.node) })
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	h, err := httpd.New("entry-1", routes, notFound)
-//	s := httpd.NewServer(ctx, h, tlsConfig)
+//	s := httpd.NewServer(ctx, h, tlsConfig, 4096)
 //	go s.Serve(listener)
 //	err = s.Stop(ctx)
 //
@@ -30,7 +30,6 @@
 
 // Bounds of one listener.
 const (
-	maxConns      = 8192
 	maxHeader     = 32 << 10
 	headerTimeout = 5 * time.Second
 	idleTimeout   = time.Minute
@@ -63,13 +62,15 @@
 
 // Server serves one handler on one listener.
 type Server struct {
-	http *http.Server
+	http  *http.Server
+	conns int
 }
 
 // NewServer returns a server whose requests are canceled when ctx ends. A nil
-// config means plain text.
-func NewServer(ctx context.Context, h http.Handler, c *tls.Config) *Server {
-	return &Server{http: &http.Server{
+// config means plain text. Connections beyond the given number wait to be
+// accepted: that is backpressure, and refuses no tier.
+func NewServer(ctx context.Context, h http.Handler, c *tls.Config, conns int) *Server {
+	return &Server{conns: conns, http: &http.Server{
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 		Handler:           h,
 		TLSConfig:         c,
@@ -81,7 +82,7 @@
 
 // Serve answers requests until Stop. It returns nil after a Stop.
 func (s *Server) Serve(n net.Listener) error {
-	n = netutil.LimitListener(n, maxConns)
+	n = netutil.LimitListener(n, s.conns)
 	if s.http.TLSConfig != nil {
 		n = tls.NewListener(n, s.http.TLSConfig)
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"kingcupstand/core/conf"
+	"kingcupstand/core/fleet"
 	"kingcupstand/io/ctrl"
 	"kingcupstand/io/link"
 	"kingcupstand/io/plat"
@@ -71,7 +72,9 @@
 // state is what the node's control goroutine owns.
 type state struct {
 	holder *conf.Holder
-	peers  []*spec.Instance
+	fleet  fleet.List
+	// listed is the platform's last list.
+	listed []*spec.Instance
 	random *rand.Rand
 }
 
@@ -158,11 +161,24 @@
 			n.telem.Log.Info("instance list rejected", "problem", ps[0].String(), "problems", len(ps))
 			continue
 		}
-		n.loop.Post(func(_ time.Duration, s *state) { s.peers = l.Instances })
-		n.hooks.Instances(l.Instances)
+		n.loop.Post(func(now time.Duration, s *state) { n.believe(now, s, l.Instances) })
 	}
 }
 
+// believe takes a list as far as it is believed.
+func (n *Node) believe(now time.Duration, s *state, listed []*spec.Instance) {
+	s.listed = listed
+	s.fleet = s.fleet.With(now, listed)
+	if s.fleet.Doubtful() {
+		n.telem.Scope.Counter("instance_lists_doubted").Inc(1)
+		n.telem.Log.Info("instance list doubted", "listed", len(listed), "kept", len(s.fleet.Instances()))
+		time.AfterFunc(fleet.Grace, func() {
+			n.loop.Post(func(now time.Duration, s *state) { n.believe(now, s, s.listed) })
+		})
+	}
+	n.hooks.Instances(s.fleet.Instances())
+}
+
 func (n *Node) readFailed(ctx context.Context, what string, err error) {
 	if errors.Is(err, plat.ErrUnchanged) || ctx.Err() != nil {
 		return
@@ -220,11 +236,12 @@
 // sample returns a few peers, each other than this process.
 func (n *Node) sample(s *state) []*spec.Instance {
 	var ps []*spec.Instance
-	for _, i := range s.random.Perm(len(s.peers)) {
+	all := s.fleet.Instances()
+	for _, i := range s.random.Perm(len(all)) {
 		if len(ps) == syncPeers {
 			break
 		}
-		if p := s.peers[i]; p.Name != n.settings.Name {
+		if p := all[i]; p.Name != n.settings.Name {
 			ps = append(ps, p)
 		}
 	}
