--- a/core/route/route.go
+++ b/core/route/route.go
@@ -84,8 +84,10 @@
 	Wait bool
 	// Prompt and Output are estimates in tokens.
 	Prompt, Output int
-	// Prefix identifies the prompt's leading part; 0 if there is none.
+	// Prefix identifies the prompt's leading part, which has Shared tokens; 0 if
+	// there is none.
 	Prefix uint64
+	Shared int
 }
 
 // key names the group of targets that a request can go to.
@@ -244,7 +246,7 @@
 	}
 	v.pending += v.load.Speed.Time(w.Prompt, w.Output)
 	if w.Prefix != 0 {
-		r.prefixes.Add(w.Prefix, belief{target: name, at: now, tokens: w.Prompt})
+		r.prefixes.Add(w.Prefix, belief{target: name, at: now, tokens: w.Shared})
 	}
 }
 
--- /dev/null
+++ b/internal/bench/bound_test.go
@@ -0,0 +1,36 @@
+package bench
+
+import (
+	"testing"
+	"time"
+)
+
+// TestBound tries plans whose best goodput is plain to see.
+func TestBound(t *testing.T) {
+	d := Deployment{
+		Engines: []spec{{step: 10 * time.Millisecond, prefill: 1, batch: 1}},
+		Tiers:   []tier{{weight: 2}, {weight: 1}},
+	}
+	one := func(at, deadline time.Duration, prompt int) *request {
+		return &request{at: at, deadline: deadline, rank: 1, prompt: prompt, output: 1}
+	}
+	s := Scenario{Deployment: d, length: time.Minute}
+	size := func(r *request) float64 { return float64(r.prompt) }
+	per := func(e spec) float64 { return float64(e.prefill) }
+	// A slot computes 25 tokens.
+	end := 10*slot - 1
+	for _, c := range []struct {
+		name string
+		rs   []*request
+		want float64
+	}{
+		{"fits", []*request{one(0, end, 250)}, 1},
+		{"half fits", []*request{one(0, end, 500)}, 0.5},
+		{"two in turn", []*request{one(0, end, 125), one(0, end, 125)}, 1},
+		{"later one is not helped by earlier time", []*request{one(5*slot, end, 250)}, 0.5},
+	} {
+		if got := s.bound(c.rs, size, per); got != c.want {
+			t.Errorf("%s: got %v, expected %v", c.name, got, c.want)
+		}
+	}
+}
--- a/io/entry/api.go
+++ b/io/entry/api.go
@@ -207,6 +207,7 @@
 	r.want.Prompt = max(len(b)/bytesPerToken, 1)
 	r.want.Output = c.output(k.Limits().OutputTokens)
 	r.want.Prefix = c.prefix(k.Workspace())
+	r.want.Shared = len(c.Messages[0]) / bytesPerToken
 	r.path = chatPath
 	if f := sized(k, r.want); f != nil {
 		return f
