The gate gives a target at most 150 ms of prompt work at once

Cause: inside a target prompts are computed in arrival order, whatever their tier. Short requests waited behind histories there, the learned prefill time grew with that wait, requests looked urgent, and running histories were cut.

--- a/core/gate/event.go
+++ b/core/gate/event.go
@@ -57,8 +57,14 @@
 func (e Drain) apply(g *Gate, _ time.Duration)       { g.drain() }
 
 func (e First) apply(g *Gate, now time.Duration) {
-	if j, ok := g.jobs[e.Conn]; ok && j.first == 0 {
-		j.first = now
+	j, ok := g.jobs[e.Conn]
+	if !ok || j.answering {
+		return
+	}
+	j.answering = true
+	j.first = now
+	if j.state == running {
+		g.prefilling -= j.offer.uncached()
 	}
 }
 
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -47,6 +47,9 @@
 	Repeatable bool
 }
 
+// uncached returns the prompt tokens that the target must compute.
+func (o Offer) uncached() int { return max(o.Prompt-o.Cached, 0) }
+
 // tokens returns the tokens that the request occupies in a batch.
 func (o Offer) tokens() int { return o.Prompt + o.Output }
 
@@ -101,7 +104,9 @@
 	state    state
 	started  time.Duration
 	first    time.Duration
-	seq      uint64
+	// answering is true from the first token on, which came at first.
+	answering bool
+	seq       uint64
 	// lane is nil unless the job is queued; own, early and late belong to it.
 	lane        *lane
 	own         time.Duration
@@ -120,11 +125,14 @@
 	jobs        map[Conn]*job
 	slots       map[Conn]*job
 	slotTokens  int
-	floor       floor
-	seq         uint64
-	draining    bool
-	drained     bool
-	out         []Action
+	// prefilling counts the prompt tokens of running requests that have not got
+	// their first token.
+	prefilling int
+	floor      floor
+	seq        uint64
+	draining   bool
+	drained    bool
+	out        []Action
 }
 
 // New returns the gate of the named target's agent.
@@ -291,6 +299,9 @@
 	}
 	delete(g.slots, j.offer.Conn)
 	g.slotTokens -= j.offer.tokens()
+	if !j.answering {
+		g.prefilling -= j.offer.uncached()
+	}
 }
 
 // start dispatches a queued job. This is the only place that emits Dispatch, and
@@ -306,6 +317,7 @@
 	j.started = now
 	g.slots[j.offer.Conn] = j
 	g.slotTokens += j.offer.tokens()
+	g.prefilling += j.offer.uncached()
 	g.emit(Dispatch{Conn: j.offer.Conn})
 }
 
@@ -318,14 +330,23 @@
 	g.emit(Cancel{Conn: j.offer.Conn, Ending: e})
 }
 
-// fits reports whether the target has a free slot for j.
+// fits reports whether the target has a free slot for j, and computes so little
+// of other prompts that j's own is not held up for long: the target knows no
+// tiers, so what waits inside it can't be overtaken.
 func (g *Gate) fits(j *job) bool {
 	if len(g.slots) == 0 {
 		return true
 	}
-	return len(g.slots) < g.limits.Batch && g.slotTokens+j.offer.tokens() <= g.limits.BatchTokens
+	if len(g.slots) >= g.limits.Batch || g.slotTokens+j.offer.tokens() > g.limits.BatchTokens {
+		return false
+	}
+	return g.prefilling == 0 || g.speed.Time(g.prefilling+j.offer.uncached(), 0) <= prefillWindow
 }
 
+// prefillWindow is the most prompt work that a target is given at once, unless
+// it is a single prompt.
+const prefillWindow = 150 * time.Millisecond
+
 // lowerPresent reports whether work of a tier below r runs here, or is queued
 // here and could be refused.
 func (g *Gate) lowerPresent(r call.Rank) bool {
@@ -365,7 +386,7 @@
 
 // wasted returns the prefill, in tokens, that is thrown away if j is cut.
 func (j *job) wasted() int {
-	return j.offer.Prompt - j.offer.Cached
+	return j.offer.uncached()
 }
 
 // retryAfter estimates when the queue of now will be gone.
@@ -407,7 +428,7 @@
 	switch {
 	case f.Whole:
 		g.ledger.set(j.offer.ID, whole)
-		g.speed = g.speed.observe(j.started, j.first, now, f)
+		g.speed = g.speed.observe(j, now, f)
 	case f.Unsent:
 		g.ledger.set(j.offer.ID, released)
 	default:
--- a/core/gate/property_test.go
+++ b/core/gate/property_test.go
@@ -166,6 +166,16 @@
 			w.t.Fatalf("conn %d is held %s after its deadline", j.offer.Conn, w.now-j.deadline)
 		}
 	}
+	tokens, prefilling := 0, 0
+	for _, j := range w.gate.slots {
+		tokens += j.offer.tokens()
+		if !j.answering {
+			prefilling += j.offer.uncached()
+		}
+	}
+	if w.gate.slotTokens != tokens || w.gate.prefilling != prefilling {
+		w.t.Fatalf("counted %d and %d tokens, expected %d and %d", w.gate.slotTokens, w.gate.prefilling, tokens, prefilling)
+	}
 	if n := w.gate.queue.len(); n > 2*testLimits.Queue {
 		w.t.Fatalf("%d requests are queued", n)
 	}
@@ -231,6 +241,17 @@
 	w.step(f)
 }
 
+// first lets the first token of a running or closing request come.
+func (w *world) first(t *rapid.T) {
+	m := w.running
+	if rapid.Bool().Draw(t, "closing") {
+		m = w.closing
+	}
+	if c := pick(t, m); c != 0 {
+		w.step(First{Conn: c})
+	}
+}
+
 func (w *world) depart(t *rapid.T) {
 	if len(w.offers) == 0 {
 		return
@@ -278,6 +299,7 @@
 			"again":  w.arrive,
 			"pass":   w.pass,
 			"finish": w.finish,
+			"first":  w.first,
 			"depart": w.depart,
 			"contract": func(t *rapid.T) {
 				w.policy.lowest = call.Rank(rapid.IntRange(2, 3).Draw(t, "lowest"))
--- a/core/gate/speed.go
+++ b/core/gate/speed.go
@@ -24,17 +24,16 @@
 	return time.Duration(max(prompt, 0))*s.Prefill + time.Duration(output)*s.Step
 }
 
-// observe returns the speed after a whole answer: dispatched at started, first
-// piece at first, end at now.
-func (s Speed) observe(started, first, now time.Duration, f Finish) Speed {
-	if first == 0 {
+// observe returns the speed after the whole answer of j that ended now.
+func (s Speed) observe(j *job, now time.Duration, f Finish) Speed {
+	if !j.answering {
 		return s
 	}
 	if n := f.Prompt - f.Cached; n > 0 {
-		s.Prefill = blend(s.Prefill, (first-started)/time.Duration(n))
+		s.Prefill = blend(s.Prefill, (j.first-j.started)/time.Duration(n))
 	}
 	if n := f.Output - 1; n > 0 {
-		s.Step = blend(s.Step, (now-first)/time.Duration(n))
+		s.Step = blend(s.Step, (now-j.first)/time.Duration(n))
 	}
 	return s
 }
