--- a/internal/fleet/fault_test.go
+++ b/internal/fleet/fault_test.go
@@ -58,6 +58,11 @@
 	b.until("the dead entry's queued call is dropped", func() bool { return b.queued(a) == 0 })
 	f.step <- true
 	b.until("the call is finished", func() bool { return b.load(a).GetRunning() == 0 })
+	f.mu.Lock()
+	if f.finished["crew"] != 1 {
+		t.Error("the call was cut because its entry died")
+	}
+	f.mu.Unlock()
 	b.want("resubmission", b.send("POST", e2.URL+strict, "crew", id), http.StatusConflict, "yes", "duplicate-request")
 	f.step <- true
 	if r := b.send("POST", e2.URL+strict, "truck", id2); r.status != http.StatusOK {
--- a/internal/fleet/helper_test.go
+++ b/internal/fleet/helper_test.go
@@ -28,6 +28,8 @@
 type fake struct {
 	mu   sync.Mutex
 	runs map[string]int
+	// finished counts the calls that were not given up by their agent.
+	finished map[string]int
 	came chan string
 	step chan bool
 	// answer writes the answer; nil means 200 with the body of the request.
@@ -36,7 +38,7 @@
 }
 
 func newFake(open bool) *fake {
-	return &fake{runs: make(map[string]int), came: make(chan string, 100), step: make(chan bool, 100), open: open}
+	return &fake{runs: make(map[string]int), finished: make(map[string]int), came: make(chan string, 100), step: make(chan bool, 100), open: open}
 }
 
 func (f *fake) ServeHTTP(w http.ResponseWriter, q *http.Request) {
@@ -52,6 +54,9 @@
 			return
 		}
 	}
+	f.mu.Lock()
+	f.finished[string(b)]++
+	f.mu.Unlock()
 	if f.answer != nil {
 		f.answer(w, q)
 		return
