--- a/core/route/route.go
+++ b/core/route/route.go
@@ -39,12 +39,6 @@
 
 // Sizes and times of a Router.
 const (
-	// sampled is the number of targets compared for one request.
-	sampled = 4
-	// prefixes is the number of prompt prefixes whose place is remembered.
-	prefixes = 8192
-	// beliefLife is how long a prefix is believed to stay cached.
-	beliefLife = 5 * time.Minute
 	// refusalLife is how long a refusal stands for requests of the same or a
 	// lower tier. It bounds the refused offers that overload can cause.
 	refusalLife = 200 * time.Millisecond
@@ -52,9 +46,6 @@
 	shedHold = time.Second
 	// suspectLife is how long a target is avoided after its link failed.
 	suspectLife = 2 * time.Second
-	// farCentre and farRegion are added to the predicted time of distant targets.
-	farCentre = 2 * time.Millisecond
-	farRegion = 100 * time.Millisecond
 )
 
 // Target is one agent with its target, as the instance list shows it.
@@ -124,13 +115,6 @@
 	refusedRank  call.Rank
 }
 
-// belief is where a prefix was computed last.
-type belief struct {
-	target string
-	at     time.Duration
-	tokens int
-}
-
 // shedding is a tier that is being shed for one group of targets.
 type shedding struct {
 	rank  call.Rank
@@ -308,144 +292,6 @@
 		Target:      v.target,
 		Incarnation: v.load.Incarnation,
 		Uptime:      v.load.Uptime + now - v.reportedAt,
-		Cached:      r.cached(now, w, v),
-	}
-}
-
-// best compares a sample of the group's usable targets. If the sample has none,
-// the whole group is searched, so that a request is shed only if all refused it.
-func (r *Router) best(now time.Duration, w Want, g []*view, tried []string) (*view, error) {
-	if len(g) == 0 {
-		return nil, ErrNoTarget
-	}
-	var best *view
-	var least time.Duration
-	consider := func(v *view) {
-		if !v.usable(now, w, tried) {
-			return
-		}
-		if p := r.predict(now, w, v); best == nil || p < least {
-			best, least = v, p
-		}
-	}
-	if b, ok := r.prefixes.Peek(w.Prefix); ok && w.Prefix != 0 {
-		if v, ok := r.views[b.target]; ok && v.target.serves(w) {
-			consider(v)
-		}
-	}
-	if h := home(g, w.Prefix); h != nil {
-		consider(h)
-	}
-	for range sampled {
-		consider(g[r.random.IntN(len(g))])
-	}
-	if best != nil {
-		return best, nil
-	}
-	return r.search(now, w, g, tried)
-}
-
-// search looks at every target of the group.
-func (r *Router) search(now time.Duration, w Want, g []*view, tried []string) (*view, error) {
-	var best *view
-	var least time.Duration
-	live := false
-	for _, v := range g {
-		live = live || v.live(now)
-		if !v.usable(now, w, tried) {
-			continue
-		}
-		if p := r.predict(now, w, v); best == nil || p < least {
-			best, least = v, p
-		}
-	}
-	switch {
-	case best != nil:
-		return best, nil
-	case live || len(tried) > 0:
-		return nil, ErrRefused
-	default:
-		return nil, ErrNoTarget
-	}
-}
-
-// live reports whether the target takes work at all.
-func (v *view) live(now time.Duration) bool {
-	return !v.target.Leaving && !v.load.Leaving && v.load.Incarnation != 0 && now >= v.suspectUntil
-}
-
-// usable reports whether a request may be offered to the target now.
-func (v *view) usable(now time.Duration, w Want, tried []string) bool {
-	if !v.live(now) || slices.Contains(tried, v.target.Name) {
-		return false
-	}
-	return now >= v.refusedUntil || v.refusedRank.Below(w.Rank)
-}
-
-// predict returns when a request that is offered now would be complete.
-func (r *Router) predict(now time.Duration, w Want, v *view) time.Duration {
-	s := v.load.Speed
-	wait := v.pending
-	for _, t := range v.load.Tiers {
-		if !t.Rank.Below(w.Rank) {
-			wait += t.Work
-		}
-	}
-	if b := v.load.Batch; b > 0 {
-		wait /= time.Duration(b)
-		if v.load.Running >= b {
-			wait += s.Time(0, v.load.RunningTokens/v.load.Running/2)
-		}
-	}
-	return wait + s.Time(w.Prompt-r.cached(now, w, v), w.Output) + r.distance(v.target)
-}
-
-// cached returns how many prompt tokens the target is believed to have cached.
-func (r *Router) cached(now time.Duration, w Want, v *view) int {
-	if w.Prefix == 0 {
-		return 0
-	}
-	b, ok := r.prefixes.Peek(w.Prefix)
-	if !ok || now-b.at > beliefLife {
-		return 0
-	}
-	if b.target != v.target.Name && home(r.groups[w.key()], w.Prefix) != v {
-		return 0
-	}
-	return min(b.tokens, w.Prompt)
-}
-
-// home returns the target that all entries prefer for a prefix, by rendezvous
-// hashing. It spreads prefixes over the caches without any exchange, and is only
-// a preference: entries with different lists may differ.
-func home(g []*view, prefix uint64) *view {
-	if prefix == 0 {
-		return nil
-	}
-	var best *view
-	var most uint64
-	for _, v := range g {
-		if s := mix(prefix ^ v.hash); best == nil || s > most {
-			best, most = v, s
-		}
-	}
-	return best
-}
-
-// mix spreads the bits of x (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
-func (r *Router) distance(t Target) time.Duration {
-	switch {
-	case t.Region != r.region:
-		return farRegion
-	case t.DataCentre != r.centre:
-		return farCentre
-	default:
-		return 0
+		Cached:      r.warmth(now, w).cached(v),
 	}
 }
