--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -82,6 +82,7 @@
 		Rank:     c.ranks[tier],
 		Wait:     t.Overload == overloadWait,
 		Cuttable: t.CutRunning,
+		Share:    k.spec.Share,
 	}, true
 }
 
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -60,6 +60,8 @@
 	Wait bool
 	// Cuttable is true if running requests may be cut before other victims.
 	Cuttable bool
+	// Share is the workspace's part of the capacity; 0 counts as 1.
+	Share float64
 }
 
 // Policy looks up contract terms. Implementations are immutable.
@@ -107,10 +109,11 @@
 	// answering is true from the first token on, which came at first.
 	answering bool
 	seq       uint64
-	// lane is nil unless the job is queued; own, early and late belong to it.
-	lane        *lane
-	own         time.Duration
-	early, late *heap.Node[*job]
+	// lane is nil unless the job is queued; the rest is its place there.
+	lane                    *lane
+	space                   *space
+	own                     time.Duration
+	early, inSpace, inOrder *heap.Node[*job]
 }
 
 // Gate is the state of one agent. It is not safe for concurrent use.
@@ -220,9 +223,13 @@
 
 // admit queues j, unless it would be late behind the work that goes before it.
 func (g *Gate) admit(now time.Duration, j *job) {
-	if g.hopeless(now, j) {
-		g.shed(now, j)
-		return
+	for g.hopeless(now, j) {
+		v := g.queue.larger(j, g.speed.own(j.offer))
+		if v == nil {
+			g.shed(now, j)
+			return
+		}
+		g.shed(now, v)
 	}
 	g.jobs[j.offer.Conn] = j
 	g.queue.push(j, g.speed.own(j.offer))
@@ -312,7 +319,7 @@
 		g.emit(Refuse{Conn: j.offer.Conn, Ending: call.Unknown(call.ReasonDuplicate)})
 		return
 	}
-	g.queue.remove(j)
+	g.queue.take(j)
 	j.state = running
 	j.started = now
 	g.slots[j.offer.Conn] = j
@@ -350,7 +357,7 @@
 // lowerPresent reports whether work of a tier below r runs here, or is queued
 // here and could be refused.
 func (g *Gate) lowerPresent(r call.Rank) bool {
-	return g.victim(r) != nil || g.queue.last(r) != nil
+	return g.victim(r) != nil || g.queue.below(r)
 }
 
 // victim returns the running job below rank r that is cut first: protected jobs
--- a/core/route/compare.go
+++ b/core/route/compare.go
@@ -75,7 +75,7 @@
 	if !v.live(now) || slices.Contains(tried, v.target.Name) {
 		return false
 	}
-	return now >= v.refusedUntil || v.refusedRank.Below(w.Rank)
+	return !v.refuses(now, w)
 }
 
 // predict returns when a request that is offered now would be complete.
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -39,9 +39,12 @@
 
 // Sizes and times of a Router.
 const (
-	// refusalLife is how long a refusal stands for requests of the same or a
-	// lower tier. It bounds the refused offers that overload can cause.
-	refusalLife = 200 * time.Millisecond
+	// refusalLife is how long a refusal stands for requests of the same workspace
+	// and the same or a lower tier. It bounds the refused offers that overload can
+	// cause.
+	refusalLife = 100 * time.Millisecond
+	// refusals is the number of refusals that are remembered for each target.
+	refusals = 16
 	// shedHold is how long lower tiers of a model are refused after a tier was shed.
 	shedHold = time.Second
 	// suspectLife is how long a target is avoided after its link failed.
@@ -69,9 +72,10 @@
 
 // Want is what a request needs of a target.
 type Want struct {
-	Model   string
-	Service string
-	Rank    call.Rank
+	Model     string
+	Service   string
+	Workspace string
+	Rank      call.Rank
 	// Wait is true if the request waits at an agent rather than being shed.
 	Wait bool
 	// Prompt and Output are estimates in tokens.
@@ -111,8 +115,40 @@
 	// pending is the predicted time of what was sent since the report.
 	pending      time.Duration
 	suspectUntil time.Duration
-	refusedUntil time.Duration
-	refusedRank  call.Rank
+	refusals     [refusals]refusal
+}
+
+// refusal is an agent's refusal for want of capacity. It stands for requests of
+// the same workspace, as another may be within its share.
+type refusal struct {
+	workspace string
+	rank      call.Rank
+	until     time.Duration
+}
+
+// refuse notes a refusal in place of the oldest one.
+func (v *view) refuse(f refusal) {
+	oldest := 0
+	for i, o := range v.refusals {
+		if o.workspace == f.workspace && o.rank == f.rank {
+			oldest = i
+			break
+		}
+		if o.until < v.refusals[oldest].until {
+			oldest = i
+		}
+	}
+	v.refusals[oldest] = f
+}
+
+// refuses reports whether a refusal stands for a request.
+func (v *view) refuses(now time.Duration, w Want) bool {
+	for _, f := range v.refusals {
+		if now < f.until && f.workspace == w.Workspace && !f.rank.Below(w.Rank) {
+			return true
+		}
+	}
+	return false
 }
 
 // shedding is a tier that is being shed for one group of targets.
@@ -245,8 +281,7 @@
 	}
 	switch e.Reason {
 	case call.ReasonOverload, call.ReasonDeadline:
-		v.refusedUntil = now + refusalLife
-		v.refusedRank = w.Rank
+		v.refuse(refusal{workspace: w.Workspace, rank: w.Rank, until: now + refusalLife})
 	case call.ReasonLeaving:
 		v.load.Leaving = true
 	case call.ReasonWrongIncarnation:
--- a/io/entry/api.go
+++ b/io/entry/api.go
@@ -277,6 +277,7 @@
 	}
 	t, _ := e.node.Config().Terms(k.Workspace(), r.tier)
 	r.want.Rank, r.want.Wait = t.Rank, t.Wait
+	r.want.Workspace = k.Workspace()
 	if f := r.setDeadline(q); f != nil {
 		return nil, f
 	}
