--- a/core/gate/bench_test.go
+++ b/core/gate/bench_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"runtime"
 	"testing"
 	"time"
 )
@@ -43,3 +44,24 @@
 		g.Step(0, Tick{})
 	}
 }
+
+// BenchmarkMemory reports the bytes that a gate holds for each queued request,
+// its id included, and for each id that is only remembered.
+func BenchmarkMemory(b *testing.B) {
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	for b.Loop() {
+		before := heap()
+		g, _ := fullGate()
+		full := heap()
+		g.Step(0, Drain{})
+		drained := heap()
+		b.ReportMetric(float64(full-before)/queuedJobs, "B/queued")
+		b.ReportMetric(float64(drained-before)/queuedJobs, "B/id")
+		runtime.KeepAlive(g)
+	}
+}
--- a/core/route/bench_test.go
+++ b/core/route/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -85,3 +86,29 @@
 		t.Errorf("%v allocations in a decision, expected none", n)
 	}
 }
+
+// heap returns the bytes in use after a collection.
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkMemory reports the bytes that a router holds for each target and for
+// each remembered prefix.
+func BenchmarkMemory(b *testing.B) {
+	for b.Loop() {
+		before := heap()
+		r := fleet()
+		targets := heap()
+		const n = 8192
+		for i := range n {
+			r.Sent(time.Second, "t1", route.Want{Prompt: 1, Prefix: uint64(i + 1), Shared: 1})
+		}
+		after := heap()
+		b.ReportMetric(float64(targets-before)/fleetTargets, "B/target")
+		b.ReportMetric(float64(after-targets)/n, "B/prefix")
+		runtime.KeepAlive(r)
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -109,12 +109,15 @@
 // Main runs the kingcupstand command.
 func Main(args []string, out, log io.Writer) int {
 	s := streams{out: out, log: log}
+	// go-zero would write its own lines to the standard output.
+	telem.Redirect(telem.NewLogger(log, "error"))
 	p := newParser("kingcupstand", s)
 	p.add("entry", "Run an entry, which callers speak to", &entryCommand{streams: s})
 	p.add("agent", "Run an agent, the gate to one target", &agentCommand{streams: s})
 	p.add("check", "Check settings, contracts and instance lists", &checkCommand{streams: s})
 	p.add("load", "Send a load to entries and report what became of it", &loadCommand{streams: s})
 	p.add("trial", "Run the whole system in this process, with a load", &trialCommand{streams: s})
+	p.add("bench", "Play the scenarios in virtual time, beside baselines and a bound", &benchCommand{streams: s})
 	p.add("hash-key", "Print the hash of a key read from standard input", &hashCommand{streams: s})
 	return p.run(args)
 }
