--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -221,77 +221,6 @@
 	return call.Ending{}, true
 }
 
-// admit queues j, unless it would be late behind the work that goes before it.
-func (g *Gate) admit(now time.Duration, j *job) {
-	for g.hopeless(now, j) {
-		v := g.queue.larger(j, g.speed.own(j.offer))
-		if v == nil {
-			g.shed(now, j)
-			return
-		}
-		g.shed(now, v)
-	}
-	g.jobs[j.offer.Conn] = j
-	g.queue.push(j, g.speed.own(j.offer))
-	g.emit(Hold{Conn: j.offer.Conn})
-	g.trim(now)
-}
-
-// trim brings the queue back to its limit. Before a request is shed, running
-// requests of lower tiers give their slots to the queue.
-func (g *Gate) trim(now time.Duration) {
-	for {
-		j := g.queue.excess(g.limits.Queue)
-		if j == nil {
-			return
-		}
-		v := g.victim(j.terms.Rank)
-		if v == nil {
-			g.shed(now, j)
-			continue
-		}
-		g.cancel(v, call.ReasonPreempted)
-		if n := g.next(now); n != nil {
-			g.start(now, n)
-		}
-	}
-}
-
-// hopeless reports whether j would miss its deadline behind the work that goes
-// before it, with no lower tier left that could give way.
-func (g *Gate) hopeless(now time.Duration, j *job) bool {
-	if g.lowerPresent(j.terms.Rank) {
-		return false
-	}
-	w := g.queue.ahead(j) / time.Duration(g.limits.Batch)
-	return now+w+g.speed.own(j.offer) > j.deadline
-}
-
-// release refuses j and binds this agent never to dispatch it.
-func (g *Gate) release(j *job, r call.Reason) {
-	g.forget(j)
-	g.ledger.set(j.offer.ID, released)
-	e := call.NotRun(r)
-	if r == call.ReasonOverload || r == call.ReasonDeadline || r == call.ReasonContract {
-		e = e.WithRetryAfter(g.retryAfter())
-	}
-	g.emit(Refuse{Conn: j.offer.Conn, Ending: e, Released: true})
-}
-
-// shed refuses j for want of capacity. Lower tiers must not run in its place, so
-// they are refused first, and for a while after.
-func (g *Gate) shed(now time.Duration, j *job) {
-	for v := g.queue.last(j.terms.Rank); v != nil; v = g.queue.last(j.terms.Rank) {
-		g.release(v, call.ReasonOverload)
-	}
-	g.floor = g.floor.raise(now, j.terms.Rank, g.limits.ShedHold)
-	r := call.ReasonOverload
-	if now >= j.deadline {
-		r = call.ReasonDeadline
-	}
-	g.release(j, r)
-}
-
 // forget removes j from the queue or its slot.
 func (g *Gate) forget(j *job) {
 	g.queue.remove(j)
@@ -328,15 +257,6 @@
 	g.emit(Dispatch{Conn: j.offer.Conn})
 }
 
-// cancel stops a running job to use its slot for another.
-func (g *Gate) cancel(j *job, r call.Reason) {
-	j.state = closing
-	g.vacate(j)
-	g.ledger.set(j.offer.ID, cut)
-	e := call.Cut(r).WithRetryAfter(g.retryAfter())
-	g.emit(Cancel{Conn: j.offer.Conn, Ending: e})
-}
-
 // fits reports whether the target has a free slot for j, and computes so little
 // of other prompts that j's own is not held up for long: the target knows no
 // tiers, so what waits inside it can't be overtaken.
@@ -354,60 +274,6 @@
 // it is a single prompt.
 const prefillWindow = 150 * time.Millisecond
 
-// lowerPresent reports whether work of a tier below r runs here, or is queued
-// here and could be refused.
-func (g *Gate) lowerPresent(r call.Rank) bool {
-	return g.victim(r) != nil || g.queue.below(r)
-}
-
-// victim returns the running job below rank r that is cut first: protected jobs
-// last, then the lowest tier, then the least prefill thrown away.
-func (g *Gate) victim(r call.Rank) *job {
-	var v *job
-	for _, j := range g.slots {
-		if j.terms.Rank.Below(r) && (v == nil || cutBefore(j, v)) {
-			v = j
-		}
-	}
-	return v
-}
-
-// cutBefore orders running jobs by how early they are cut.
-func cutBefore(a, b *job) bool {
-	if a.terms.protected() != b.terms.protected() {
-		return !a.terms.protected()
-	}
-	if a.terms.Rank != b.terms.Rank {
-		return a.terms.Rank.Below(b.terms.Rank)
-	}
-	if a.wasted() != b.wasted() {
-		return a.wasted() < b.wasted()
-	}
-	return a.seq > b.seq
-}
-
-// protected reports whether running requests are cut only when nothing else is left.
-func (t Terms) protected() bool {
-	return t.Wait || !t.Cuttable
-}
-
-// wasted returns the prefill, in tokens, that is thrown away if j is cut.
-func (j *job) wasted() int {
-	return j.offer.uncached()
-}
-
-// retryAfter estimates when the queue of now will be gone.
-func (g *Gate) retryAfter() time.Duration {
-	d := g.queue.work() / time.Duration(g.limits.Batch)
-	return min(max(d.Round(time.Second), minRetryAfter), maxRetryAfter)
-}
-
-// Bounds of the times that callers are told to come back after.
-const (
-	minRetryAfter = time.Second
-	maxRetryAfter = 30 * time.Second
-)
-
 // depart handles the loss of an offer stream: nobody waits for the answer.
 func (g *Gate) depart(c Conn) {
 	j, ok := g.jobs[c]
@@ -470,45 +336,3 @@
 		g.release(j, call.ReasonLeaving)
 	}
 }
-
-// Load returns the report that entries route by.
-func (g *Gate) Load(now time.Duration) Load {
-	l := Load{
-		Incarnation:   g.incarnation,
-		Uptime:        now,
-		Leaving:       g.draining,
-		Running:       len(g.slots),
-		RunningTokens: g.slotTokens,
-		Queued:        g.queue.len(),
-		Batch:         g.limits.Batch,
-		Speed:         g.speed,
-		ShedBelow:     g.floor.rank(now),
-	}
-	for _, q := range g.queue.lanes {
-		if q.early.Len() > 0 {
-			l.Tiers = append(l.Tiers, TierLoad{Rank: q.rank, Work: q.work})
-		}
-	}
-	return l
-}
-
-// Load is an agent's report of its own state.
-type Load struct {
-	Incarnation   uint64
-	Uptime        time.Duration
-	Leaving       bool
-	Running       int
-	RunningTokens int
-	Queued        int
-	Batch         int
-	Tiers         []TierLoad
-	Speed         Speed
-	// ShedBelow is the tier whose lower tiers are refused, or 0.
-	ShedBelow call.Rank
-}
-
-// TierLoad is the queued work of one tier: its predicted time on one slot.
-type TierLoad struct {
-	Rank call.Rank
-	Work time.Duration
-}
