Work that must wait is not refused by prediction

Cause: an agent refused waiting work on arrival when the queue before it was predicted to last beyond its deadline. The contract says that it waits. Change: it is held until it would be late even if dispatched at once. TestWaiting, red before (refused on arrival), green after; TestTargets green.

--- a/core/gate/shed.go
+++ b/core/gate/shed.go
@@ -43,9 +43,10 @@
 }
 
 // hopeless reports whether j would miss its deadline behind the work that goes
-// before it, with no lower tier left that could give way.
+// before it, with no lower tier left that could give way. A prediction is no
+// reason to refuse work that must wait: the storm may pass.
 func (g *Gate) hopeless(now time.Duration, j *job) bool {
-	if g.lowerPresent(j.terms.Rank) {
+	if j.terms.Wait || g.lowerPresent(j.terms.Rank) {
 		return false
 	}
 	w := g.queue.ahead(j) / time.Duration(g.limits.Batch)
--- /dev/null
+++ b/core/gate/wait_test.go
@@ -0,0 +1,35 @@
+package gate
+
+import (
+	"testing"
+	"time"
+)
+
+// TestWaiting queues more work than fits before the deadline of a request that
+// must wait: it is held as long as it could still be on time, then refused.
+func TestWaiting(t *testing.T) {
+	l := testLimits
+	l.Batch = 1
+	g := New("t", testInc, l, terms{wait: true, lowest: 3}, testSpeed)
+	arrive := func(c Conn, tier string, budget time.Duration) []Action {
+		return g.Step(0, Arrive{Offer: Offer{
+			Conn: c, ID: testID(int(c)), Workspace: "w", Tier: tier, Budget: budget, Prompt: 100, Repeatable: true,
+		}})
+	}
+	for c := Conn(1); c <= 4; c++ {
+		arrive(c, "1", time.Hour)
+	}
+	if a := arrive(9, "3", 250*time.Millisecond); len(a) != 1 || a[0] != (Hold{Conn: 9}) {
+		t.Errorf("got %v, expected a hold", a)
+	}
+	if a := g.Step(140*time.Millisecond, Tick{}); len(a) != 0 {
+		t.Errorf("got %v while it could still be on time", a)
+	}
+	a := g.Step(160*time.Millisecond, Tick{})
+	if len(a) != 1 {
+		t.Fatalf("got %v, expected a refusal", a)
+	}
+	if r, ok := a[0].(Refuse); !ok || r.Conn != 9 || !r.Released {
+		t.Errorf("got %v, expected a released refusal", a[0])
+	}
+}
