--- a/internal/fleet/fault_test.go
+++ b/internal/fleet/fault_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -407,3 +408,40 @@
 		t.Errorf("running request: got %d %q", r.status, r.body)
 	}
 }
+
+// TestChanges publishes changes close together and undoes one while a burst runs:
+// every request gets one ending, and the last revision is in force everywhere.
+func TestChanges(t *testing.T) {
+	b := newBench(t)
+	f := newFake(true)
+	f.came = make(chan string, 1000)
+	a := b.service("intake-1", f, 2)
+	e := b.entry("entry-1")
+	b.begin(e)
+	const calls = 100
+	c := make(chan reply, calls)
+	for i := range calls {
+		go func() { c <- b.send("POST", e.URL+"/services/intake/x", fmt.Sprint("call ", i)) }()
+		if i%10 == 0 {
+			d := contracts(uint64(2 + i/10))
+			if i/10%2 == 0 {
+				// The tiers change places, and back again with the next revision.
+				d.Tiers[0].Rank, d.Tiers[1].Rank = 2, 1
+			}
+			if err := b.Publish(d); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	for range calls {
+		if r := <-c; r.status != http.StatusOK {
+			t.Errorf("got %d %q %v", r.status, r.body, r.err)
+		}
+	}
+	for i := range calls {
+		if n := f.count(fmt.Sprint("call ", i)); n != 1 {
+			t.Errorf("call %d ran %d times", i, n)
+		}
+	}
+	b.until("the last revision is in force", func() bool { return b.revision(e) == 11 && b.revision(a) == 11 })
+}
