--- a/core/gate/ledger.go
+++ b/core/gate/ledger.go
@@ -7,12 +7,12 @@
 	"kingcupstand/core/heap"
 )
 
-// fate is what the ledger knows of an id.
-type fate uint8
+// status is what the ledger knows of an id.
+type status uint8
 
 const (
 	// held ids are queued.
-	held fate = iota
+	held status = iota
 	// begun ids were dispatched and have not finished.
 	begun
 	// whole ids were answered to the end.
@@ -26,7 +26,7 @@
 // record is the ledger's entry for one id.
 type record struct {
 	id     call.ID
-	fate   fate
+	status status
 	expiry time.Duration
 	node   *heap.Node[*record]
 }
@@ -53,7 +53,7 @@
 	if len(l.records) >= l.limit {
 		return false
 	}
-	r := &record{id: id, fate: held, expiry: expiry}
+	r := &record{id: id, status: held, expiry: expiry}
 	r.node = l.expiry.Push(r)
 	l.records[id] = r
 	return true
@@ -62,16 +62,16 @@
 // begin marks a held id as dispatched. It reports false for any other id.
 func (l *ledger) begin(id call.ID) bool {
 	r, ok := l.records[id]
-	if !ok || r.fate != held {
+	if !ok || r.status != held {
 		return false
 	}
-	r.fate = begun
+	r.status = begun
 	return true
 }
 
-func (l *ledger) set(id call.ID, f fate) {
+func (l *ledger) set(id call.ID, f status) {
 	if r, ok := l.records[id]; ok {
-		r.fate = f
+		r.status = f
 	}
 }
 
@@ -90,7 +90,7 @@
 	if !ok {
 		return call.Ending{}, false
 	}
-	switch r.fate {
+	switch r.status {
 	case begun, whole, cut:
 		return call.Cut(call.ReasonDuplicate), true
 	case released:
--- a/core/gate/property_test.go
+++ b/core/gate/property_test.go
@@ -40,8 +40,8 @@
 
 var testSpeed = Speed{Prefill: time.Millisecond, Step: time.Millisecond}
 
-// world drives a gate and keeps what it did, to hold it against its promises.
-type world struct {
+// harness drives a gate and keeps what it did, to hold it against its promises.
+type harness struct {
 	t       *rapid.T
 	gate    *Gate
 	now     time.Duration
@@ -59,9 +59,9 @@
 	drained    int
 }
 
-func newWorld(t *rapid.T) *world {
+func newHarness(t *rapid.T) *harness {
 	p := terms{wait: rapid.Bool().Draw(t, "wait"), cuttable: rapid.Bool().Draw(t, "cuttable"), lowest: 3}
-	return &world{
+	return &harness{
 		t:          t,
 		gate:       New("t", testInc, testLimits, p, testSpeed),
 		policy:     p,
@@ -75,12 +75,12 @@
 	}
 }
 
-func (w *world) rank(c Conn) call.Rank {
+func (w *harness) rank(c Conn) call.Rank {
 	return call.Rank(w.offers[c].Tier[0] - '0')
 }
 
 // step feeds an event and checks every action against the promises.
-func (w *world) step(e Event) {
+func (w *harness) step(e Event) {
 	var shed []Conn
 	for _, a := range w.gate.Step(w.now, e) {
 		switch a := a.(type) {
@@ -105,7 +105,7 @@
 	w.checkState()
 }
 
-func (w *world) dispatched(c Conn) {
+func (w *harness) dispatched(c Conn) {
 	id := w.offers[c].ID
 	w.dispatches[id]++
 	if w.dispatches[id] > 1 {
@@ -123,7 +123,7 @@
 	w.running[c] = true
 }
 
-func (w *world) refused(a Refuse) {
+func (w *harness) refused(a Refuse) {
 	if w.ended[a.Conn] || w.running[a.Conn] || w.closing[a.Conn] {
 		w.t.Fatalf("conn %d was refused after its end or dispatch", a.Conn)
 	}
@@ -144,7 +144,7 @@
 }
 
 // checkShed holds the refusals of one step against what runs after it.
-func (w *world) checkShed(shed []Conn) {
+func (w *harness) checkShed(shed []Conn) {
 	for _, s := range shed {
 		for c := range w.running {
 			if w.rank(c).Below(w.rank(s)) {
@@ -157,7 +157,7 @@
 	}
 }
 
-func (w *world) checkState() {
+func (w *harness) checkState() {
 	if n := len(w.running); n > testLimits.Batch {
 		w.t.Fatalf("%d requests run, the batch is %d", n, testLimits.Batch)
 	}
@@ -182,7 +182,7 @@
 }
 
 // arrive offers a request, sometimes under an id that was used before.
-func (w *world) arrive(t *rapid.T) {
+func (w *harness) arrive(t *rapid.T) {
 	c := Conn(len(w.offers) + 1)
 	n := int(c)
 	if rapid.IntRange(0, 4).Draw(t, "reuse") == 0 {
@@ -202,7 +202,7 @@
 	w.step(Arrive{Offer: o})
 }
 
-func (w *world) pass(t *rapid.T) {
+func (w *harness) pass(t *rapid.T) {
 	w.now += time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond
 	w.step(Tick{})
 }
@@ -224,7 +224,7 @@
 }
 
 // finish ends the answer of a running or closing request.
-func (w *world) finish(t *rapid.T) {
+func (w *harness) finish(t *rapid.T) {
 	m := w.running
 	if rapid.Bool().Draw(t, "closing") {
 		m = w.closing
@@ -234,7 +234,7 @@
 	}
 }
 
-func (w *world) end(c Conn, f Finish) {
+func (w *harness) end(c Conn, f Finish) {
 	delete(w.running, c)
 	delete(w.closing, c)
 	w.ended[c] = true
@@ -242,7 +242,7 @@
 }
 
 // first lets the first token of a running or closing request come.
-func (w *world) first(t *rapid.T) {
+func (w *harness) first(t *rapid.T) {
 	m := w.running
 	if rapid.Bool().Draw(t, "closing") {
 		m = w.closing
@@ -252,7 +252,7 @@
 	}
 }
 
-func (w *world) depart(t *rapid.T) {
+func (w *harness) depart(t *rapid.T) {
 	if len(w.offers) == 0 {
 		return
 	}
@@ -268,7 +268,7 @@
 }
 
 // settle lets time pass until everything has ended, and counts what was lost.
-func (w *world) settle() {
+func (w *harness) settle() {
 	w.step(Drain{})
 	for len(w.running)+len(w.closing) > 0 {
 		for c := range w.offers {
@@ -293,7 +293,7 @@
 // answers, lost entries, contract changes and a planned stop.
 func TestPropertyGate(t *testing.T) {
 	prop.Check(t, func(t *rapid.T) {
-		w := newWorld(t)
+		w := newHarness(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"arrive": w.arrive,
 			"again":  w.arrive,
--- a/core/route/shed_test.go
+++ b/core/route/shed_test.go
@@ -43,9 +43,9 @@
 	last  gate.Conn
 }
 
-// market is a few entries and agents whose messages arrive at once, but whose
+// testFleet is a few entries and agents whose messages arrive at once, but whose
 // reports are as old as the schedule makes them.
-type market struct {
+type testFleet struct {
 	t       *rapid.T
 	now     time.Duration
 	servers []*server
@@ -56,8 +56,8 @@
 	shedAt []time.Duration
 }
 
-func newMarket(t *rapid.T) *market {
-	m := &market{t: t, now: time.Second, shed: make([]call.Rank, 2), shedAt: make([]time.Duration, 2)}
+func newTestFleet(t *rapid.T) *testFleet {
+	m := &testFleet{t: t, now: time.Second, shed: make([]call.Rank, 2), shedAt: make([]time.Duration, 2)}
 	var ts []route.Target
 	for i := range rapid.IntRange(1, 3).Draw(t, "agents") {
 		n := fmt.Sprintf("t%d", i)
@@ -78,7 +78,7 @@
 }
 
 // step feeds an agent and returns what it said to the conn, if it refused it.
-func (m *market) step(s *server, e gate.Event, c gate.Conn) *gate.Refuse {
+func (m *testFleet) step(s *server, e gate.Event, c gate.Conn) *gate.Refuse {
 	var out *gate.Refuse
 	for _, a := range s.gate.Step(m.now, e) {
 		switch a := a.(type) {
@@ -99,7 +99,7 @@
 	s.runs = slices.DeleteFunc(s.runs, func(r running) bool { return r.conn == c })
 }
 
-func (m *market) server(name string) *server {
+func (m *testFleet) server(name string) *server {
 	for _, s := range m.servers {
 		if s.name == name {
 			return s
@@ -111,7 +111,7 @@
 
 // submit takes a request to an entry, which offers it until an agent holds it or
 // all have refused it.
-func (m *market) submit(t *rapid.T) {
+func (m *testFleet) submit(t *rapid.T) {
 	i := rapid.IntRange(0, 1).Draw(t, "entry")
 	tier := rapid.IntRange(1, 3).Draw(t, "tier")
 	w := route.Want{Model: model, Rank: call.Rank(tier), Wait: tier == 3, Prompt: rapid.IntRange(1, 200).Draw(t, "prompt"), Output: 10}
@@ -140,7 +140,7 @@
 	}
 }
 
-func (m *market) offer(c route.Choice, w route.Want, tier int, budget time.Duration) *gate.Refuse {
+func (m *testFleet) offer(c route.Choice, w route.Want, tier int, budget time.Duration) *gate.Refuse {
 	s := m.server(c.Target.Name)
 	s.last++
 	s.ranks[s.last] = w.Rank
@@ -155,7 +155,7 @@
 
 // checkShed looks for lower tiers at the agents that refused a request for want
 // of capacity: none may run there.
-func (m *market) checkShed(i int, w route.Want, tried []string) {
+func (m *testFleet) checkShed(i int, w route.Want, tried []string) {
 	for _, n := range tried {
 		for _, r := range m.server(n).runs {
 			if r.rank.Below(w.Rank) {
@@ -168,7 +168,7 @@
 	}
 }
 
-func (m *market) finish(t *rapid.T) {
+func (m *testFleet) finish(t *rapid.T) {
 	s := m.servers[rapid.IntRange(0, len(m.servers)-1).Draw(t, "server")]
 	if len(s.runs) == 0 {
 		return
@@ -178,14 +178,14 @@
 	m.step(s, gate.Finish{Conn: c, Whole: true}, 0)
 }
 
-func (m *market) pass(t *rapid.T) {
+func (m *testFleet) pass(t *rapid.T) {
 	m.now += time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond
 	for _, s := range m.servers {
 		m.step(s, gate.Tick{}, 0)
 	}
 }
 
-func (m *market) report(t *rapid.T) {
+func (m *testFleet) report(t *rapid.T) {
 	s := m.servers[rapid.IntRange(0, len(m.servers)-1).Draw(t, "server")]
 	m.routers[rapid.IntRange(0, 1).Draw(t, "entry")].Report(m.now, s.name, s.gate.Load(m.now))
 }
@@ -195,7 +195,7 @@
 // and none offers a lower tier right after.
 func TestPropertyShedding(t *testing.T) {
 	prop.Check(t, func(t *rapid.T) {
-		m := newMarket(t)
+		m := newTestFleet(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"submit": m.submit, "submit2": m.submit, "submit3": m.submit,
 			"finish": m.finish, "pass": m.pass, "report": m.report,
--- a/internal/bench/fifo.go
+++ b/internal/bench/fifo.go
@@ -3,7 +3,7 @@
 // fifo is a baseline: requests go to an engine at once and run in arrival order,
 // whatever their tier and deadline.
 type fifo struct {
-	*world
+	*simulation
 	policy Policy
 	next   int
 	// reported is the load that the balancer knows of.
@@ -11,8 +11,8 @@
 	down     []bool
 }
 
-func newFIFO(w *world, p Policy) *fifo {
-	f := &fifo{world: w, policy: p, reported: make([]int, len(w.engines)), down: make([]bool, len(w.engines))}
+func newFIFO(w *simulation, p Policy) *fifo {
+	f := &fifo{simulation: w, policy: p, reported: make([]int, len(w.engines)), down: make([]bool, len(w.engines))}
 	if p == LeastLoad {
 		f.report()
 	}
--- a/internal/bench/managed.go
+++ b/internal/bench/managed.go
@@ -25,7 +25,7 @@
 
 // managed is the project's own code: routers at the entries, gates at the agents.
 type managed struct {
-	*world
+	*simulation
 	routers []*route.Router
 	agents  []*agent
 	random  *rand.Rand
@@ -35,26 +35,26 @@
 
 // agent is a gate with its engine.
 type agent struct {
-	m      *managed
-	name   string
-	gate   *gate.Gate
-	engine *engine
-	trips  map[gate.Conn]*trip
-	last   gate.Conn
-	dead   bool
+	m        *managed
+	name     string
+	gate     *gate.Gate
+	engine   *engine
+	attempts map[gate.Conn]*attempt
+	last     gate.Conn
+	dead     bool
 }
 
-// trip is one offer of a request.
-type trip struct {
-	q     *journey
+// attempt is one offer of a request.
+type attempt struct {
+	q     *submission
 	conn  gate.Conn
 	id    call.ID
 	task  *task
 	order uint32
 }
 
-// journey is a request at its entry.
-type journey struct {
+// submission is a request at its entry.
+type submission struct {
 	r     *request
 	life  *offer.Life
 	want  route.Want
@@ -74,8 +74,8 @@
 	return gate.Terms{}, false
 }
 
-func newManaged(w *world, seed uint64) *managed {
-	m := &managed{world: w, random: rand.New(rand.NewPCG(seed, 1))}
+func newManaged(w *simulation, seed uint64) *managed {
+	m := &managed{simulation: w, random: rand.New(rand.NewPCG(seed, 1))}
 	d := w.scenario.Deployment
 	var ts []route.Target
 	for i, e := range w.engines {
@@ -85,7 +85,7 @@
 		}
 		s := gate.Speed{Prefill: e.spec.step / time.Duration(e.spec.prefill), Step: e.spec.step}
 		m.agents = append(m.agents, &agent{
-			m: m, name: n, engine: e, trips: make(map[gate.Conn]*trip),
+			m: m, name: n, engine: e, attempts: make(map[gate.Conn]*attempt),
 			gate: gate.New(n, uint64(i+1), l, terms{d.Tiers}, s),
 		})
 		ts = append(ts, route.Target{Name: n, Peer: n, Models: []string{model}})
@@ -128,7 +128,7 @@
 }
 
 func (m *managed) submit(r *request) {
-	q := &journey{r: r, life: offer.New(false), want: route.Want{
+	q := &submission{r: r, life: offer.New(false), want: route.Want{
 		Model: model, Workspace: fmt.Sprint(r.workspace), Rank: r.rank, Wait: m.scenario.Deployment.Tiers[r.rank-1].wait,
 		Prompt: r.prompt, Output: r.output, Prefix: r.prefix, Shared: r.shared,
 	}}
@@ -136,7 +136,7 @@
 }
 
 // offer offers a request to the agent that the entry's router chooses.
-func (m *managed) offer(q *journey) {
+func (m *managed) offer(q *submission) {
 	router := m.routers[q.r.entry]
 	c, err := router.Choose(m.now, q.want, q.tried)
 	if err != nil {
@@ -152,13 +152,13 @@
 	var n [call.NonceSize]byte
 	binary.BigEndian.PutUint64(n[:], m.nonce)
 	i := slices.IndexFunc(m.agents, func(a *agent) bool { return a.name == c.Target.Name })
-	t := &trip{q: q, id: call.NewTicket(c.Target.Name, c.Incarnation, n, c.Uptime+idLife).ID()}
+	t := &attempt{q: q, id: call.NewTicket(c.Target.Name, c.Incarnation, n, c.Uptime+idLife).ID()}
 	t.order = q.life.Offer(t.id, true)
 	cached := c.Cached
 	m.after(hop, func() { m.agents[i].arrive(t, cached) })
 }
 
-func (a *agent) arrive(t *trip, cached int) {
+func (a *agent) arrive(t *attempt, cached int) {
 	if a.dead {
 		a.m.routers[t.q.r.entry].Suspect(a.m.now, a.name)
 		a.m.after(hop, func() {
@@ -169,7 +169,7 @@
 	}
 	a.last++
 	t.conn = a.last
-	a.trips[t.conn] = t
+	a.attempts[t.conn] = t
 	r := t.q.r
 	a.step(gate.Arrive{Offer: gate.Offer{
 		Conn: t.conn, ID: t.id, Workspace: fmt.Sprint(r.workspace), Tier: a.m.scenario.Deployment.Tiers[r.rank-1].name,
@@ -185,16 +185,16 @@
 	for _, x := range slices.Clone(a.gate.Step(a.m.now, e)) {
 		switch x := x.(type) {
 		case gate.Dispatch:
-			a.dispatch(a.trips[x.Conn])
+			a.dispatch(a.attempts[x.Conn])
 		case gate.Refuse:
-			a.refuse(a.trips[x.Conn], x)
+			a.refuse(a.attempts[x.Conn], x)
 		case gate.Cancel:
-			a.cancel(a.trips[x.Conn], x.Ending)
+			a.cancel(a.attempts[x.Conn], x.Ending)
 		}
 	}
 }
 
-func (a *agent) dispatch(t *trip) {
+func (a *agent) dispatch(t *attempt) {
 	r := t.q.r
 	t.task = &task{r: r, began: func() {
 		r.first = a.m.now + hop
@@ -202,23 +202,23 @@
 	}, ended: func() {
 		r.done = a.m.now + hop
 		r.ending = answered
-		delete(a.trips, t.conn)
+		delete(a.attempts, t.conn)
 		a.step(gate.Finish{Conn: t.conn, Whole: true, Prompt: r.prompt, Cached: t.task.hit, Output: r.output})
 		a.m.report(r.entry, a)
 	}}
 	a.engine.submit(t.task)
 }
 
-func (a *agent) cancel(t *trip, e call.Ending) {
+func (a *agent) cancel(t *attempt, e call.Ending) {
 	a.engine.cancel(t.task)
 	t.q.r.ending = e
-	delete(a.trips, t.conn)
+	delete(a.attempts, t.conn)
 	a.m.after(0, func() { a.step(gate.Finish{Conn: t.conn}) })
 }
 
 // refuse sends a refusal to the entry, which may offer the request elsewhere.
-func (a *agent) refuse(t *trip, x gate.Refuse) {
-	delete(a.trips, t.conn)
+func (a *agent) refuse(t *attempt, x gate.Refuse) {
+	delete(a.attempts, t.conn)
 	a.m.wrong += a.inversion(t, x)
 	m := a.m
 	l := a.gate.Load(m.now)
@@ -235,11 +235,11 @@
 }
 
 // inversion returns 1 if a request is shed while a lower tier runs here.
-func (a *agent) inversion(t *trip, x gate.Refuse) int {
+func (a *agent) inversion(t *attempt, x gate.Refuse) int {
 	if x.Ending.Reason != call.ReasonOverload && x.Ending.Reason != call.ReasonDeadline {
 		return 0
 	}
-	for _, o := range a.trips {
+	for _, o := range a.attempts {
 		if o.task != nil && !o.task.gone && o.q.r.rank.Below(t.q.r.rank) {
 			return 1
 		}
@@ -251,7 +251,7 @@
 func (m *managed) died(i int) {
 	a := m.agents[i]
 	a.dead = true
-	for _, t := range a.trips {
+	for _, t := range a.attempts {
 		t.q.r.lost = true
 	}
 	m.after(hop, func() {
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -56,8 +56,8 @@
 	requests   []*request
 }
 
-// world is one run.
-type world struct {
+// simulation is one run.
+type simulation struct {
 	*clock
 	scenario Scenario
 	engines  []*engine
@@ -75,7 +75,7 @@
 
 // Run plays a scenario.
 func Run(s Scenario, p Policy, seed uint64) Result {
-	w := &world{clock: newClock(), scenario: s, requests: s.requests(seed)}
+	w := &simulation{clock: newClock(), scenario: s, requests: s.requests(seed)}
 	for _, x := range s.Deployment.Engines {
 		w.engines = append(w.engines, newEngine(w.clock, x))
 	}
@@ -96,7 +96,7 @@
 }
 
 // arrive hands a request to a living entry: the balancer's work.
-func (w *world) arrive(y system, r *request) {
+func (w *simulation) arrive(y system, r *request) {
 	for !w.entryUp[r.entry] {
 		r.entry = (r.entry + 1) % len(w.entryUp)
 	}
@@ -104,7 +104,7 @@
 }
 
 // plan plans the scenario's failures.
-func (w *world) plan(y system) {
+func (w *simulation) plan(y system) {
 	if t := w.scenario.slowAt; t > 0 {
 		w.after(t, func() {
 			for i := 0; i < len(w.engines); i += 3 {
@@ -118,7 +118,7 @@
 }
 
 // die kills two agents with their engines, and an entry with what it holds.
-func (w *world) die(y system) {
+func (w *simulation) die(y system) {
 	for _, i := range []int{1, 4} {
 		for _, t := range w.engines[i].die() {
 			t.r.lost = true
@@ -134,7 +134,7 @@
 }
 
 // result counts what became of the requests.
-func (w *world) result(p Policy, seed uint64, y system) Result {
+func (w *simulation) result(p Policy, seed uint64, y system) Result {
 	s := w.scenario
 	out := Result{Scenario: s.Name, Deployment: s.Deployment.Name, Policy: p, Seed: seed, Inversions: y.inversions(), requests: w.requests}
 	n := len(s.Deployment.Tiers)
@@ -176,7 +176,7 @@
 	return out
 }
 
-func (w *world) prefill(out *Result) {
+func (w *simulation) prefill(out *Result) {
 	computed, hits, shared := 0, 0, 0
 	for _, e := range w.engines {
 		out.WastedTokens += e.wasted
