Prompts of answers that are not streamed count as computed after their predicted time

Cause: such an answer shows no first token, so its prompt filled the window on prompt work until the answer's end, and its whole time was learned as prefill.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -45,6 +45,9 @@
 	Prompt, Cached, Output int
 	// Repeatable is false for requests that change something when they run.
 	Repeatable bool
+	// Streamed is true if the answer comes token by token, so that its first token
+	// shows the end of the prompt's computation.
+	Streamed bool
 }
 
 // uncached returns the prompt tokens that the target must compute.
@@ -105,6 +108,9 @@
 	deadline time.Duration
 	state    state
 	started  time.Duration
+	// presumed is when the prompt of an answer that is not streamed is taken for
+	// computed.
+	presumed time.Duration
 	first    time.Duration
 	// answering is true from the first token on, which came at first.
 	answering bool
@@ -157,12 +163,24 @@
 func (g *Gate) Step(now time.Duration, e Event) []Action {
 	g.out = g.out[:0]
 	g.ledger.expire(now)
+	g.presume(now)
 	e.apply(g, now)
 	g.pump(now)
 	g.reportDrained()
 	return g.out
 }
 
+// presume takes the prompts of answers that are not streamed for computed once
+// their predicted time is over, as no first token will show it.
+func (g *Gate) presume(now time.Duration) {
+	for _, j := range g.slots {
+		if !j.answering && !j.offer.Streamed && now >= j.presumed {
+			j.answering = true
+			g.prefilling -= j.offer.uncached()
+		}
+	}
+}
+
 func (g *Gate) emit(a Action) {
 	g.out = append(g.out, a)
 }
@@ -254,6 +272,7 @@
 	g.slots[j.offer.Conn] = j
 	g.slotTokens += j.offer.tokens()
 	g.prefilling += j.offer.uncached()
+	j.presumed = now + g.speed.Time(g.prefilling, 0)
 	g.emit(Dispatch{Conn: j.offer.Conn})
 }
 
--- a/core/gate/speed.go
+++ b/core/gate/speed.go
@@ -26,6 +26,9 @@
 
 // observe returns the speed after the whole answer of j that ended now.
 func (s Speed) observe(j *job, now time.Duration, f Finish) Speed {
+	if !j.offer.Streamed {
+		return s.observeWhole(j, now, f)
+	}
 	if !j.answering {
 		return s
 	}
@@ -38,6 +41,15 @@
 	return s
 }
 
+// observeWhole learns from an answer that came at once: all of its time but the
+// prompt's predicted part was spent on its tokens.
+func (s Speed) observeWhole(j *job, now time.Duration, f Finish) Speed {
+	if d := now - j.started - s.Time(f.Prompt-f.Cached, 0); f.Output > 0 && d > 0 {
+		s.Step = blend(s.Step, d/time.Duration(f.Output))
+	}
+	return s
+}
+
 // blend moves an average towards an observation.
 func blend(avg, v time.Duration) time.Duration {
 	return max(avg+(v-avg)/gain, 1)
--- a/internal/bench/managed.go
+++ b/internal/bench/managed.go
@@ -173,7 +173,7 @@
 	r := t.q.r
 	a.step(gate.Arrive{Offer: gate.Offer{
 		Conn: t.conn, ID: t.id, Workspace: fmt.Sprint(r.workspace), Tier: a.m.scenario.Deployment.Tiers[r.rank-1].name,
-		Budget: r.deadline - a.m.now, Prompt: r.prompt, Cached: cached, Output: r.output, Repeatable: true,
+		Budget: r.deadline - a.m.now, Prompt: r.prompt, Cached: cached, Output: r.output, Repeatable: true, Streamed: true,
 	}})
 }
 
--- a/io/agent/stream.go
+++ b/io/agent/stream.go
@@ -73,6 +73,7 @@
 		Cached:     int(o.CachedTokens),
 		Output:     int(o.OutputTokens),
 		Repeatable: o.Repeatable,
+		Streamed:   o.Streamed,
 	}
 }
 
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -268,6 +268,7 @@
 		TraceParent:  telem.Inject(ctx),
 		Revision:     r.entry.node.Config().Revision(),
 		Repeatable:   r.repeatable,
+		Streamed:     r.want.Model != "" && !r.buffered,
 	}
 }
 
