The lifetime of request ids stands once, in core/call

Entry and agent each had a constant of their own that had to be equal: an entry's longer one would have its ids refused.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -35,8 +35,6 @@
 // Sizes and times of an agent.
 const (
 	tickInterval = 20 * time.Millisecond
-	// IDLife is the lifetime of request ids.
-	IDLife = 10 * time.Minute
 	// idSlack allows for an entry's late view of the agent's uptime.
 	idSlack  = time.Minute
 	idLimit  = 200_000
@@ -105,7 +103,7 @@
 		BatchTokens: int(t.BatchTokens),
 		Queue:       int(t.Queue),
 		IDs:         idLimit,
-		IDLife:      IDLife + idSlack,
+		IDLife:      call.IDLife + idSlack,
 		ShedHold:    shedHold,
 	}
 }
--- a/io/entry/api.go
+++ b/io/entry/api.go
@@ -127,7 +127,7 @@
 	w.Header().Set(headerID, string(id))
 	return writeJSON(w, http.StatusCreated, map[string]any{
 		"request_id": id,
-		"expires_in": int(idLife.Seconds()),
+		"expires_in": int(call.IDLife.Seconds()),
 	})
 }
 
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -24,7 +24,6 @@
 
 // Times of a request.
 const (
-	idLife = 10 * time.Minute
 	// deadlineMargin is how long after its deadline a request that was not
 	// dispatched is still left to the agent, which can say that it did not run.
 	deadlineMargin = 250 * time.Millisecond
@@ -227,7 +226,7 @@
 	if _, err := cryptorand.Read(n[:]); err != nil {
 		return "", fmt.Errorf("request id: %w", err)
 	}
-	return call.NewTicket(c.Target.Name, c.Incarnation, n, c.Uptime+idLife).ID(), nil
+	return call.NewTicket(c.Target.Name, c.Incarnation, n, c.Uptime+call.IDLife).ID(), nil
 }
 
 // mintFor returns a new id for the agent that would be chosen now.
