--- /dev/null
+++ b/core/pool/target.go
@@ -0,0 +1,211 @@
+package pool
+
+import (
+	"math"
+	"time"
+)
+
+// Outcome is how a send ended, as far as it speaks of its target.
+type Outcome int
+
+// Outcomes of sends.
+const (
+	// Good is a whole answer.
+	Good Outcome = iota
+	// Neutral says nothing about the target: the caller left, or time ran out.
+	Neutral
+	// Failed is an answer that reports a failure.
+	Failed
+	// Rejected means that the target had no room.
+	Rejected
+	// Broken is an answer that was cut, wrong or never came.
+	Broken
+	// Unreachable means that no connection could be made.
+	Unreachable
+)
+
+// Speeds that are assumed until answers have been seen. They only order the first
+// choices; each target's own speed replaces them within a few answers.
+const (
+	assumedSetup   = 8 * time.Millisecond
+	assumedToken   = 20 * time.Microsecond
+	assumedPace    = 25 * time.Millisecond
+	assumedService = 20 * time.Millisecond
+	// learn is the weight of a new measurement against the old ones.
+	learn = 0.2
+	// slowest and fastest bound the factor by which a target differs.
+	slowest = 20.0
+	fastest = 0.1
+)
+
+// Times of doubt.
+const (
+	// fullPause is how long a target that had no room is left alone; a slot of a
+	// batch comes free about this often.
+	fullPause = 60 * time.Millisecond
+	// firstDoubt is how long a target that broke off is left alone; it doubles
+	// with each failure in a row up to longestDoubt, which is shorter than the
+	// time in which the platform drops a dead target.
+	firstDoubt   = 400 * time.Millisecond
+	longestDoubt = 3 * time.Second
+	// failMemory is the time in which the share of failures fades.
+	failMemory = 4 * time.Second
+	// plainQueue is how many requests beyond its slots a plain service gets: its
+	// work is short, and it queues a few itself.
+	plainQueue = 2.0
+)
+
+// target is one target and what is known of it.
+type target struct {
+	Target
+	peers map[string]Use
+	// own is what this front has in flight, and prompt the tokens of it that have
+	// not led to a first event.
+	own    int
+	prompt int
+	// factor is how many times slower than assumed the target is.
+	factor float64
+	pace   time.Duration
+	fails  share
+	// full is until when the target is believed to have no room.
+	full time.Duration
+	// until is when a target in doubt may be tried again, and doubt the pause
+	// that the next failure sets.
+	until  time.Duration
+	doubt  time.Duration
+	trying bool
+}
+
+func newTarget() *target {
+	return &target{peers: map[string]Use{}, factor: 1, pace: assumedPace, doubt: firstDoubt}
+}
+
+// running returns what all fronts have in flight.
+func (t *target) running() int {
+	n := t.own
+	for _, u := range t.peers {
+		n += u.Running
+	}
+	return n
+}
+
+// limit returns how much the target is given at once.
+func (t *target) limit() int {
+	if t.Engine {
+		return t.Slots
+	}
+	return int(float64(t.Slots) * plainQueue)
+}
+
+// usable reports whether the target may get work now. One that was in doubt gets
+// a single request to prove itself.
+func (t *target) usable(now time.Duration) bool {
+	if now < t.until || (t.doubt > firstDoubt && t.trying) {
+		return false
+	}
+	if t.doubt > firstDoubt {
+		return true
+	}
+	for _, u := range t.peers {
+		if u.Failing && t.own > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// predict returns the time to the first byte of an answer.
+func (t *target) predict(prompt int) time.Duration {
+	if !t.Engine {
+		return time.Duration(t.factor * float64(assumedService))
+	}
+	n := prompt + t.prompt
+	for _, u := range t.peers {
+		n += u.Prompt
+	}
+	return time.Duration(t.factor * float64(assumedSetup+assumedToken*time.Duration(n)))
+}
+
+func (t *target) begin(now time.Duration, prompt int) {
+	t.own++
+	t.prompt += prompt
+	if t.doubt > firstDoubt && now >= t.until {
+		t.trying = true
+	}
+}
+
+// first learns from an answer's first byte, which was predicted to come after
+// ahead and came after d.
+func (t *target) first(now time.Duration, prompt int, ahead, d time.Duration) {
+	t.prompt = max(0, t.prompt-prompt)
+	if ahead > 0 {
+		f := t.factor * float64(d) / float64(ahead)
+		t.factor = bound(t.factor*math.Pow(bound(f, fastest, slowest)/t.factor, learn))
+	}
+	t.trust(now)
+}
+
+func bound(f float64, limits ...float64) float64 {
+	lo, hi := fastest, slowest
+	if len(limits) == 2 {
+		lo, hi = limits[0], limits[1]
+	}
+	return min(hi, max(lo, f))
+}
+
+func (t *target) learnPace(d time.Duration) {
+	t.pace += time.Duration(learn * float64(d-t.pace))
+}
+
+// trust ends all doubt.
+func (t *target) trust(time.Duration) {
+	t.trying, t.doubt, t.until = false, firstDoubt, 0
+}
+
+// suspect leaves the target alone for a while.
+func (t *target) suspect(now time.Duration) {
+	if now < t.until {
+		return
+	}
+	t.trying = false
+	t.until = now + t.doubt
+	t.doubt = min(longestDoubt, 2*t.doubt)
+}
+
+func (t *target) end(now time.Duration, prompt int, o Outcome) {
+	t.own = max(0, t.own-1)
+	t.prompt = max(0, t.prompt-prompt)
+	switch o {
+	case Good:
+		t.fails.add(now, 0)
+		t.trust(now)
+	case Neutral:
+		t.trying = false
+	case Failed:
+		t.fails.add(now, 1)
+		t.trying = false
+	case Rejected:
+		t.full = now + fullPause
+		t.trying = false
+	case Broken:
+		t.fails.add(now, 1)
+		t.suspect(now)
+	case Unreachable:
+		t.suspect(now)
+	}
+}
+
+// share is a part of events that fades with time.
+type share struct {
+	value float64
+	last  time.Duration
+}
+
+func (s *share) at(now time.Duration) float64 {
+	return s.value * math.Exp(-float64(now-s.last)/float64(failMemory))
+}
+
+func (s *share) add(now time.Duration, v float64) {
+	s.value = s.at(now)*(1-learn) + learn*v
+	s.last = now
+}
--- /dev/null
+++ b/core/quota/quota.go
@@ -0,0 +1,160 @@
+// Package quota holds workspaces to allowances that all fronts share, without a
+// place that counts for all of them.
+//
+// # Usage
+//
+//	q := quota.New()
+//	q.Configure(workspaces)
+//	wait, ok := q.Take(now, "workspace", 1500)
+//	q.Hear(now, "192.0.2.7:7600", incarnation, uses)
+//	q.Reachable(4, 5)
+//
+// Each front keeps a token bucket for a workspace that everybody's use drains:
+// its own at once, the others' as their beats come. Fronts that are silent may be
+// serving on the far side of a partition, so the bucket then fills only at the
+// part of the rate that belongs to the fronts that are heard. The sides' rates
+// never add up to more than the allowance.
+package quota
+
+import (
+	"time"
+
+	"kingcupstand/core/plan"
+)
+
+// Uses is what a front has used since it started, by workspace.
+type Uses map[uint32]float64
+
+type bucket struct {
+	workspace *plan.Workspace
+	level     float64
+	at        time.Duration
+	used      float64
+}
+
+// life is what a peer's counters counted up to.
+type life struct {
+	incarnation uint64
+	uses        Uses
+}
+
+// Quota is a front's view of all allowances. It is not safe for concurrent use.
+type Quota struct {
+	buckets map[uint32]*bucket
+	peers   map[string]*life
+	// part of the rate that fills the buckets here, from 0 to 1.
+	part float64
+	hash func(string) uint32
+}
+
+// New returns a Quota without allowances. Hash names workspaces in beats.
+func New(hash func(string) uint32) *Quota {
+	return &Quota{buckets: map[uint32]*bucket{}, peers: map[string]*life{}, part: 1, hash: hash}
+}
+
+// Configure sets the allowances. Levels of workspaces that stay are kept.
+func (q *Quota) Configure(now time.Duration, ws []*plan.Workspace) {
+	old := q.buckets
+	q.buckets = map[uint32]*bucket{}
+	for _, w := range ws {
+		h := q.hash(w.Name)
+		b := old[h]
+		if b == nil {
+			b = &bucket{level: w.Burst}
+		} else {
+			q.fill(now, b)
+		}
+		b.workspace, b.at = w, now
+		b.level = min(b.level, w.Burst)
+		q.buckets[h] = b
+	}
+}
+
+// Reachable says how many fronts are heard, this one included, of how many that
+// may be serving.
+func (q *Quota) Reachable(now time.Duration, heard, all int) {
+	p := 1.0
+	if all > 0 {
+		p = float64(heard) / float64(all)
+	}
+	if p == q.part {
+		return
+	}
+	for _, b := range q.buckets {
+		q.fill(now, b)
+	}
+	q.part = p
+}
+
+func (q *Quota) fill(now time.Duration, b *bucket) {
+	if d := now - b.at; d > 0 {
+		b.level = min(b.workspace.Burst, b.level+b.workspace.Rate*q.part*d.Seconds())
+		b.at = now
+	}
+}
+
+// Take uses n of an allowance. If nothing is left it reports false, and after how
+// long there will be something.
+func (q *Quota) Take(now time.Duration, workspace string, n float64) (wait time.Duration, ok bool) {
+	b := q.buckets[q.hash(workspace)]
+	if b == nil {
+		return 0, true
+	}
+	if b.workspace.Rate <= 0 {
+		return 0, true
+	}
+	q.fill(now, b)
+	if b.level <= 0 {
+		r := max(b.workspace.Rate*q.part, 1)
+		return time.Duration((n - b.level) / r * float64(time.Second)), false
+	}
+	b.level -= n
+	b.used += n
+	return 0, true
+}
+
+// Return gives back what a request took that has not run.
+func (q *Quota) Return(workspace string, n float64) {
+	if b := q.buckets[q.hash(workspace)]; b != nil && b.workspace.Rate > 0 {
+		b.level = min(b.workspace.Burst, b.level+n)
+		b.used -= n
+	}
+}
+
+// Hear takes what a peer has used since it started.
+func (q *Quota) Hear(now time.Duration, peer string, incarnation uint64, us Uses) {
+	l := q.peers[peer]
+	if l == nil || l.incarnation != incarnation {
+		l = &life{incarnation: incarnation, uses: Uses{}}
+		q.peers[peer] = l
+	}
+	for h, u := range us {
+		b := q.buckets[h]
+		if b != nil {
+			q.fill(now, b)
+			b.level = min(b.workspace.Burst, b.level-(u-l.uses[h]))
+		}
+		l.uses[h] = u
+	}
+}
+
+// Uses returns what this front has used since it started, for peers.
+func (q *Quota) Uses() Uses {
+	us := Uses{}
+	for h, b := range q.buckets {
+		if b.used != 0 {
+			us[h] = b.used
+		}
+	}
+	return us
+}
+
+// Level returns what is left of a workspace's allowance.
+func (q *Quota) Level(now time.Duration, workspace string) float64 {
+	b := q.buckets[q.hash(workspace)]
+	if b == nil {
+		return 0
+	}
+	q.fill(now, b)
+	return b.level
+}
