--- a/core/list/list.go
+++ b/core/list/list.go
@@ -81,11 +81,8 @@
 	l.fresh = now
 }
 
-// Confirm notes that the list was read up to a revision, with or without changes.
-func (l *List) Confirm(now time.Duration, revision uint64) {
-	l.found(now)
-	l.revision = max(l.revision, revision)
-}
+// Confirm notes that the platform has answered and what is held is current.
+func (l *List) Confirm(now time.Duration) { l.found(now) }
 
 // Whole takes the platform's full list.
 func (l *List) Whole(now time.Duration, d *spec.Directory) {
--- a/io/front/codec.go
+++ b/io/front/codec.go
@@ -66,10 +66,10 @@
 	Gone(revision uint64, id string)
 	// Unreadable takes an entry of the list that names no target.
 	Unreadable(revision uint64, id string, err error)
-	// Confirm notes that the list was read up to a revision.
-	Confirm(revision uint64)
+	// Confirm notes that the platform has answered; what is held is current.
+	Confirm()
 	// Lost notes that the platform doesn't answer.
-	Lost(what string, err error)
+	Lost(err error)
 }
 
 // Source reads the platform until ctx ends.
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -30,7 +30,7 @@
 	quietPause = 250 * time.Millisecond
 	// fetchPatience is how long a newer document may take to come from the
 	// platform itself before a peer is asked.
-	fetchPatience = 120 * time.Millisecond
+	fetchPatience = 200 * time.Millisecond
 )
 
 // state is what the front's control goroutine owns.
@@ -43,7 +43,7 @@
 	peers  *peers.Peers
 	lines  map[string]*queue
 	random *rand.Rand
-	lost   map[string]bool
+	lost   bool
 	waits  map[string]map[waitKey]int
 	heard  map[string]bool
 	beats  uint64
@@ -83,7 +83,6 @@
 		peers:  peers.New(s.Peer, s.Seeds),
 		lines:  map[string]*queue{},
 		random: r,
-		lost:   map[string]bool{},
 		waits:  map[string]map[waitKey]int{},
 		heard:  map[string]bool{},
 	}
@@ -156,10 +155,7 @@
 // change runs a change of the list.
 func (f *Front) change(c func(now time.Duration, s *state)) {
 	f.loop.Post(func(now time.Duration, s *state) {
-		if s.lost["targets"] {
-			delete(s.lost, "targets")
-			f.telem.Log.Info("dependency regained", "dependency", "platform", "value", "targets", "list-age-ms", s.list.Age(now).Milliseconds())
-		}
+		f.regained(now, s)
 		c(now, s)
 		f.apply(now, s)
 	})
@@ -199,22 +195,31 @@
 }
 
 // Confirm implements Sink.
-func (f *Front) Confirm(revision uint64) {
-	f.change(func(now time.Duration, s *state) { s.list.Confirm(now, revision) })
+func (f *Front) Confirm() {
+	f.loop.Post(func(now time.Duration, s *state) {
+		f.regained(now, s)
+		s.list.Confirm(now)
+	})
+}
+
+func (f *Front) regained(now time.Duration, s *state) {
+	if !s.lost {
+		return
+	}
+	s.lost = false
+	f.telem.Log.Info("dependency regained", "dependency", "platform", "plan", s.plan.Revision(), "list-age-ms", s.list.Age(now).Milliseconds())
 }
 
 // Lost implements Sink.
-func (f *Front) Lost(what string, err error) {
+func (f *Front) Lost(err error) {
 	f.loop.Post(func(now time.Duration, s *state) {
-		if what == "targets" {
-			s.list.Lost()
-		}
-		if s.lost[what] {
+		s.list.Lost()
+		if s.lost {
 			return
 		}
-		s.lost[what] = true
+		s.lost = true
 		f.meter.lost.Inc(1)
-		f.telem.Log.Info("dependency lost", "dependency", "platform", "value", what, "error", err.Error(),
+		f.telem.Log.Info("dependency lost", "dependency", "platform", "error", err.Error(),
 			"plan", s.plan.Revision(), "list-age-ms", s.list.Age(now).Milliseconds())
 	})
 }
@@ -326,14 +331,10 @@
 	f.catchUp(now, s)
 }
 
-// catchUp asks a peer for a newer plan, or for a newer list while the platform
-// doesn't answer here.
+// catchUp asks a peer for documents that are newer than this front's, if they
+// don't come from the platform in time.
 func (f *Front) catchUp(now time.Duration, s *state) {
-	d := ^uint64(0)
-	if s.lost["targets"] || s.list.Revision() == 0 {
-		d = s.list.Revision()
-	}
-	a, ok := s.peers.Newer(now, s.plan.Revision(), d)
+	a, ok := s.peers.Newer(now, s.plan.Revision(), s.list.Revision())
 	if !ok {
 		s.newer = 0
 		return
@@ -341,11 +342,14 @@
 	if s.newer == 0 {
 		s.newer = now
 	}
-	if (s.plan.Revision() > 0 && now-s.newer < fetchPatience) || !f.fetching.CompareAndSwap(false, true) {
+	p := fetchPatience
+	if s.lost || s.plan.Revision() == 0 {
+		p = 0
+	}
+	if now-s.newer < p || !f.fetching.CompareAndSwap(false, true) {
 		return
 	}
-	q := &wire.FetchRequest{Plan: s.plan.Revision(), Directory: d}
-	go f.runFetch(a, q)
+	go f.runFetch(a, &wire.FetchRequest{Plan: s.plan.Revision(), Directory: s.list.Revision()})
 }
 
 // runFetch gets a peer's newer documents.
