--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -7,7 +7,7 @@
 //	p.Apply(now, targets)
 //	c, err := p.Choose(now, pool.Want{Service: "chat", Prompt: 800})
 //	p.Begin(now, c.ID, 800)
-//	p.First(now, c.ID, 800, 230*time.Millisecond)
+//	p.First(now, c.ID, 800, c.Ahead, 230*time.Millisecond)
 //	p.End(now, c.ID, 0, pool.Good)
 //	p.Hear(now, "192.0.2.7:7600", uses)
 //
@@ -63,6 +63,8 @@
 	Born    int64
 	Running int
 	Slots   int
+	// Ahead are the prompt tokens that are read before the answer begins.
+	Ahead int
 	// Wait is the predicted time to the answer's first byte.
 	Wait time.Duration
 }
@@ -83,6 +85,7 @@
 	hashes     map[uint32]*target
 	services   map[string][]*target
 	peers      map[string]map[uint32]Use
+	fits       map[string]*fit
 }
 
 // New returns a Pool without targets for a front in the given data centre.
@@ -94,9 +97,32 @@
 		hashes:     map[uint32]*target{},
 		services:   map[string][]*target{},
 		peers:      map[string]map[uint32]Use{},
+		fits:       map[string]*fit{},
 	}
 }
 
+func (p *Pool) fit(service string) *fit {
+	f := p.fits[service]
+	if f == nil {
+		f = &fit{}
+		p.fits[service] = f
+	}
+	return f
+}
+
+// Own sets how many slots of each target belong to this front.
+func (p *Pool) Own(mine map[string]int) {
+	for id, t := range p.targets {
+		t.mine = mine[id]
+	}
+}
+
+// Expect returns the time to the first byte at a target like the service's others
+// with nothing else to read.
+func (p *Pool) Expect(service string, prompt int) time.Duration {
+	return p.fit(service).at(prompt)
+}
+
 // Hash returns the short name of a target, service or workspace in beats.
 func Hash(name string) uint32 {
 	h := fnv.New32a()
@@ -114,7 +140,8 @@
 	for _, d := range ts {
 		t, ok := old[d.ID]
 		if !ok || t.Born != d.Born || t.Address != d.Address {
-			t = newTarget()
+			t = newTarget(p.fit(d.Service))
+			t.mine = d.Slots
 		}
 		t.Target = d
 		p.targets[d.ID] = t
@@ -142,6 +169,17 @@
 	return ok && !t.Leaving && t.Born == born
 }
 
+// Targets returns the targets of a service that take new work.
+func (p *Pool) Targets(service string) []Target {
+	var ts []Target
+	for _, t := range p.services[service] {
+		if !t.Leaving {
+			ts = append(ts, t.Target)
+		}
+	}
+	return ts
+}
+
 // Size returns the number of targets of a service that take new work.
 func (p *Pool) Size(service string) int {
 	n := 0
@@ -173,7 +211,7 @@
 		if t.Leaving || contains(w.Exclude, t.ID) || !t.usable(now) {
 			continue
 		}
-		if t.running() >= t.limit() || now < t.full {
+		if !t.room() || now < t.full {
 			err = ErrFull
 			continue
 		}
@@ -191,6 +229,7 @@
 		Born:    best.Born,
 		Running: best.running(),
 		Slots:   best.Slots,
+		Ahead:   best.ahead(w.Prompt),
 		Wait:    best.predict(w.Prompt),
 	}, nil
 }
@@ -247,7 +286,7 @@
 }
 
 // First takes the time to the first byte of an answer.
-func (p *Pool) First(now time.Duration, id string, prompt int, ahead time.Duration, d time.Duration) {
+func (p *Pool) First(now time.Duration, id string, prompt, ahead int, d time.Duration) {
 	if t := p.targets[id]; t != nil {
 		t.first(now, prompt, ahead, d)
 	}
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -50,6 +50,9 @@
 	longestDoubt = 3 * time.Second
 	// failMemory is the time in which the share of failures fades.
 	failMemory = 4 * time.Second
+	// reserve: one slot in so many is left to the front that it belongs to. Between
+	// two beats about one request comes for each target.
+	reserve = 4
 	// plainQueue is how many requests beyond its slots a plain service gets: its
 	// work is short, and it queues a few itself.
 	plainQueue = 2.0
@@ -63,7 +66,10 @@
 	// not led to a first event.
 	own    int
 	prompt int
-	// factor is how many times slower than assumed the target is.
+	// mine is how many slots belong to this front.
+	mine int
+	fit  *fit
+	// factor is how many times slower than the service's others the target is.
 	factor float64
 	pace   time.Duration
 	fails  share
@@ -76,8 +82,8 @@
 	trying bool
 }
 
-func newTarget() *target {
-	return &target{peers: map[string]Use{}, factor: 1, pace: assumedPace, doubt: firstDoubt}
+func newTarget(f *fit) *target {
+	return &target{peers: map[string]Use{}, fit: f, factor: 1, pace: assumedPace, doubt: firstDoubt}
 }
 
 // running returns what all fronts have in flight.
@@ -97,6 +103,17 @@
 	return int(float64(t.Slots) * plainQueue)
 }
 
+// room reports whether this front may send one more request. It fills its own
+// slots, and others' only while the target is far from full: what peers have
+// begun since their last beats is not seen yet.
+func (t *target) room() bool {
+	n, m := t.running(), t.limit()
+	if n >= m {
+		return false
+	}
+	return !t.Engine || t.own < t.mine || n < m-m/reserve
+}
+
 // usable reports whether the target may get work now. One that was in doubt gets
 // a single request to prove itself.
 func (t *target) usable(now time.Duration) bool {
@@ -114,16 +131,22 @@
 	return true
 }
 
+// ahead returns the prompt tokens that are read before an answer to a prompt
+// begins, the prompt's own included.
+func (t *target) ahead(prompt int) int {
+	n := prompt + t.prompt
+	for _, u := range t.peers {
+		n += u.Prompt
+	}
+	return n
+}
+
 // predict returns the time to the first byte of an answer.
 func (t *target) predict(prompt int) time.Duration {
 	if !t.Engine {
 		return time.Duration(t.factor * float64(assumedService))
 	}
-	n := prompt + t.prompt
-	for _, u := range t.peers {
-		n += u.Prompt
-	}
-	return time.Duration(t.factor * float64(assumedSetup+assumedToken*time.Duration(n)))
+	return time.Duration(t.factor * float64(t.fit.at(t.ahead(prompt))))
 }
 
 func (t *target) begin(now time.Duration, prompt int) {
@@ -134,25 +157,20 @@
 	}
 }
 
-// first learns from an answer's first byte, which was predicted to come after
-// ahead and came after d.
-func (t *target) first(now time.Duration, prompt int, ahead, d time.Duration) {
+// first learns from an answer's first byte, which came after d with the given
+// tokens ahead.
+func (t *target) first(now time.Duration, prompt, ahead int, d time.Duration) {
 	t.prompt = max(0, t.prompt-prompt)
-	if ahead > 0 {
-		f := t.factor * float64(d) / float64(ahead)
-		t.factor = bound(t.factor*math.Pow(bound(f, fastest, slowest)/t.factor, learn))
+	e := assumedService
+	if t.Engine {
+		e = t.fit.at(ahead)
+		t.fit.add(ahead, time.Duration(float64(d)/t.factor))
 	}
+	r := min(slowest, max(fastest, float64(d)/float64(e)))
+	t.factor *= math.Pow(r/t.factor, learn)
 	t.trust(now)
 }
 
-func bound(f float64, limits ...float64) float64 {
-	lo, hi := fastest, slowest
-	if len(limits) == 2 {
-		lo, hi = limits[0], limits[1]
-	}
-	return min(hi, max(lo, f))
-}
-
 func (t *target) learnPace(d time.Duration) {
 	t.pace += time.Duration(learn * float64(d-t.pace))
 }
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -22,6 +22,8 @@
 const (
 	// answerMargin before a caller stops waiting, the final answer is given.
 	answerMargin = 20 * time.Millisecond
+	// defaultGoal is used for routes that name none.
+	defaultGoal = time.Second
 	// noPlanPause is when a caller is asked back by a front that has no plan yet.
 	noPlanPause = 300 * time.Millisecond
 	// stopPause is when a caller that came to a stopping front is asked back; it
@@ -31,9 +33,9 @@
 	streamStop = 4500 * time.Millisecond
 	// plainStop is the same for other requests.
 	plainStop = 400 * time.Millisecond
-	// lateShare: callers that wait for less than this share of a route's timeout
-	// have been refused before, so their goal has passed.
-	lateShare = 0.95
+	// latePart of the time that a caller whose goal has passed will wait is spent
+	// in line; most of it is left for the answer.
+	latePart = 1.0 / 4
 	// defaultBody bounds bodies while the plan sets no limit, in bytes.
 	defaultBody = 4 << 20
 	// sends is the most connections that are tried for one request, whether they
@@ -64,12 +66,20 @@
 	body      []byte
 	deadline  time.Time
 	cost      float64
+	// spent is how long the caller had tried before this attempt, and expect the
+	// time to an answer's first byte once it is sent.
+	spent  time.Duration
+	expect time.Duration
 
 	// tried are the targets that got the request, and shunned those that may not
 	// get it any more.
 	tried   []string
 	shunned []string
 	sends   int
+	// ran is true if a target may have run the request, and ranBefore if one may
+	// have before the last send.
+	ran       bool
+	ranBefore bool
 	// held is a target's failure that is passed on if no other answer comes.
 	held *answer
 	// out is the answer that the caller has begun to get.
@@ -160,7 +170,6 @@
 		q.rank = w.Rank
 	}
 	q.service = r.Service(point(q.call.ID))
-	q.late = q.call.Wait > 0 && q.call.Wait < time.Duration(lateShare*float64(r.Timeout))
 	return 0, ""
 }
 
@@ -220,40 +229,37 @@
 	return time.Until(*at) < n
 }
 
-// take uses the workspace's allowance.
+// take uses the workspace's allowance, and learns how long the caller has tried.
 func (q *request) take() (status int, reason string, retry time.Duration) {
-	if q.workspace == nil {
-		return 0, "", 0
-	}
-	q.cost = 1
-	if q.workspace.Tokens {
-		q.cost = float64(q.workspace.DefaultTokens)
-		if q.call.Counted {
-			q.cost = float64(q.call.Prompt + q.call.Output)
+	n := ""
+	if q.workspace != nil {
+		n = q.workspace.Name
+		q.cost = 1
+		if q.workspace.Tokens {
+			q.cost = float64(q.workspace.DefaultTokens)
+			if q.call.Counted {
+				q.cost = float64(q.call.Prompt + q.call.Output)
+			}
 		}
 	}
-	type result struct {
-		wait  time.Duration
-		ok    bool
-		peers int
-	}
-	x := ctrl.Ask(q.front.loop, func(now time.Duration, s *state) result {
+	ok := ctrl.Ask(q.front.loop, func(now time.Duration, s *state) (ok bool) {
 		s.budget.Request(now, q.service)
-		w, ok := s.quota.Take(now, q.workspace.Name, q.cost)
 		s.changed = true
-		h, _ := s.peers.Count(now)
-		return result{w, ok, h}
+		q.note.peers, _ = s.peers.Count(now)
+		q.spent = s.past.Spent(now, q.route.Name, q.call.Wait)
+		q.expect = s.pool.Expect(q.service, q.call.Prompt)
+		retry, ok = s.quota.Take(now, n, q.cost)
+		return ok
 	})
-	q.note.peers = x.peers
-	if !x.ok {
-		return http.StatusTooManyRequests, "over-allowance", x.wait
+	if !ok {
+		return http.StatusTooManyRequests, "over-allowance", retry
 	}
 	return 0, "", 0
 }
 
 // untake gives back the allowance of a request that has not run.
 func (q *request) untake() {
-	if q.workspace == nil || len(q.tried) > 0 {
+	if q.workspace == nil || q.ran {
 		return
 	}
 	q.front.loop.Post(func(_ time.Duration, s *state) { s.quota.Return(q.workspace.Name, q.cost) })
@@ -262,12 +268,13 @@
 // loop sends the request to one target after the other while that is allowed.
 func (q *request) loop(ctx context.Context) {
 	for {
+		w := q.wait()
 		t := q.turn(ctx, pool.Want{
 			Service: q.service,
 			Prompt:  q.call.Prompt,
 			Exclude: q.shunned,
 			Risky:   !q.route.Repeatable(),
-		}, q.wait())
+		}, w)
 		q.note.waited += t.waited
 		if t.err != nil {
 			q.note.ahead, q.note.expected = t.ahead, t.expected
@@ -295,21 +302,23 @@
 	}
 }
 
-// wait returns how long the request may wait for its turn.
+// wait returns how long the request may wait for its turn: until its answer could
+// not begin within the goal any more, or for a part of what is left to a caller
+// whose goal has passed.
 func (q *request) wait() time.Duration {
-	g := q.route.Goal
-	if g == 0 {
-		g = time.Second
-	}
 	if q.out != nil {
 		// A stream that broke off waits no longer than the caller will.
 		return q.stall()
 	}
-	spent := time.Since(q.arrived)
+	g := q.route.Goal
+	if g == 0 {
+		g = defaultGoal
+	}
+	w := time.Duration(goalPart*float64(g)) - q.spent - time.Since(q.arrived) - q.expect
+	q.late = w <= 0
 	if q.late {
-		spent = 0
+		return max(time.Duration(latePart*float64(time.Until(q.deadline))), 0)
 	}
-	w := time.Duration(goalPart*float64(g)) - spent
 	return max(w, time.Duration(leastPart*float64(g)))
 }
 
@@ -410,7 +419,7 @@
 		q.note.reason = err.Error()
 	}
 	switch {
-	case len(q.tried) == 0:
+	case !q.ran:
 		return http.StatusServiceUnavailable, reason
 	case errors.Is(err, errTimeout):
 		return http.StatusGatewayTimeout, reason
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -128,6 +128,8 @@
 		return verdict{err: err}
 	}
 	q.tried = append(q.tried, e.choice.ID)
+	q.ranBefore = q.ran
+	q.ran = true // until the target says that it has not
 	if err != nil {
 		return verdict{arrived: true, ran: true, err: err}
 	}
@@ -206,6 +208,8 @@
 
 // notRun handles an answer that promises that the request has not run.
 func (e *exchange) notRun(a *http.Response) verdict {
+	q := e.request
+	q.ran = q.ranBefore
 	e.outcome = pool.Rejected
 	if a.StatusCode == http.StatusMisdirectedRequest {
 		e.outcome = pool.Unreachable
@@ -279,7 +283,7 @@
 		q.note.first = time.Since(q.arrived)
 	}
 	q.front.loop.Post(func(now time.Duration, s *state) {
-		s.pool.First(now, e.choice.ID, n, e.choice.Wait, d)
+		s.pool.First(now, e.choice.ID, n, e.choice.Ahead, d)
 		s.changed = true
 	})
 }
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -10,10 +10,12 @@
 	"kingcupstand/core/budg"
 	"kingcupstand/core/line"
 	"kingcupstand/core/list"
+	"kingcupstand/core/past"
 	"kingcupstand/core/peers"
 	"kingcupstand/core/plan"
 	"kingcupstand/core/pool"
 	"kingcupstand/core/quota"
+	"kingcupstand/core/share"
 	"kingcupstand/io/ctrl"
 	"kingcupstand/schema/spec"
 	"kingcupstand/schema/wire"
@@ -28,6 +30,8 @@
 	beatPauseEach = 3 * time.Millisecond
 	// quietPause is the longest time between two beats.
 	quietPause = 250 * time.Millisecond
+	// divideTime is how often slots are divided anew.
+	divideTime = 500 * time.Millisecond
 	// fetchPatience is how long a newer document may take to come from the
 	// platform itself before a peer is asked.
 	fetchPatience = 200 * time.Millisecond
@@ -44,9 +48,13 @@
 	lines  map[string]*queue
 	random *rand.Rand
 	lost   bool
+	past   *past.Past
 	waits  map[string]map[waitKey]int
-	heard  map[string]bool
-	beats  uint64
+	// demands is each peer's demand, by service.
+	demands map[string]map[uint32]float64
+	divided time.Duration
+	heard   map[string]bool
+	beats   uint64
 	// newer is since when a peer has held a newer document.
 	newer time.Duration
 	// changed is true if there is something that the last beat didn't say.
@@ -67,6 +75,9 @@
 	// rate is how many requests a second have lately left the line or passed it.
 	rate float64
 	at   time.Duration
+	// demand is how many requests a second have lately wanted a turn.
+	demand   float64
+	demandAt time.Duration
 }
 
 func newState(s *spec.Front, r *rand.Rand) *state {
@@ -80,11 +91,13 @@
 			Slack:  s.RetrySlack,
 			Window: time.Duration(s.RetryWindowMs) * time.Millisecond,
 		}),
-		peers:  peers.New(s.Peer, s.Seeds),
-		lines:  map[string]*queue{},
-		random: r,
-		waits:  map[string]map[waitKey]int{},
-		heard:  map[string]bool{},
+		peers:   peers.New(s.Peer, s.Seeds),
+		lines:   map[string]*queue{},
+		random:  r,
+		past:    past.New(),
+		demands: map[string]map[uint32]float64{},
+		waits:   map[string]map[waitKey]int{},
+		heard:   map[string]bool{},
 	}
 }
 
@@ -137,6 +150,7 @@
 		ts = append(ts, t)
 	}
 	s.pool.Apply(ts)
+	f.divide(now, s)
 	f.meter.targets.Update(float64(len(ts)))
 	for name := range s.lines {
 		f.pump(now, s, name)
@@ -245,6 +259,7 @@
 			delete(s.heard, a)
 			s.pool.Forget(a)
 			delete(s.waits, a)
+			delete(s.demands, a)
 			f.telem.Log.Info("dependency lost", "dependency", "peer", "peer", a)
 		}
 	}
@@ -252,6 +267,9 @@
 	s.quota.Reachable(now, heard, all)
 	s.budget.Share(all)
 	f.meter.peers.Update(float64(heard))
+	if now-s.divided >= divideTime {
+		f.divide(now, s)
+	}
 	for name := range s.lines {
 		f.pump(now, s, name)
 	}
@@ -262,6 +280,29 @@
 	}
 }
 
+// divide computes which slots belong to this front.
+func (f *Front) divide(now time.Duration, s *state) {
+	s.divided = now
+	mine := map[string]int{}
+	for name, q := range s.lines {
+		if v := s.plan.Service(name); v == nil || !v.Engine {
+			continue
+		}
+		fs := []share.Front{{Name: f.settings.Peer, Weight: q.want(now)}}
+		for a, d := range s.demands {
+			fs = append(fs, share.Front{Name: a, Weight: d[pool.Hash(name)]})
+		}
+		var ts []share.Target
+		for _, t := range s.pool.Targets(name) {
+			ts = append(ts, share.Target{ID: t.ID, Slots: t.Slots})
+		}
+		for id, n := range share.Mine(f.settings.Peer, fs, ts) {
+			mine[id] = n
+		}
+	}
+	s.pool.Own(mine)
+}
+
 func (f *Front) sendBeat(now time.Duration, s *state) {
 	s.sent, s.changed = now, false
 	s.beats++
@@ -284,6 +325,7 @@
 		m.Workspaces = append(m.Workspaces, &wire.WorkspaceUse{Workspace: h, Used: u})
 	}
 	for name, q := range s.lines {
+		m.Demands = append(m.Demands, &wire.ServiceDemand{Service: pool.Hash(name), PerSecond: q.want(now)})
 		for r, n := range q.line.Ranks() {
 			m.Waits = append(m.Waits, &wire.RankWait{Service: pool.Hash(name), Rank: uint32(r), Count: uint32(n)})
 		}
@@ -325,6 +367,11 @@
 		k[waitKey{w.Service, int(w.Rank)}] = int(w.Count)
 	}
 	s.waits[m.Peer] = k
+	d := map[uint32]float64{}
+	for _, v := range m.Demands {
+		d[v.Service] = v.PerSecond
+	}
+	s.demands[m.Peer] = d
 	for name := range s.lines {
 		f.pump(now, s, name)
 	}
--- a/io/front/turn.go
+++ b/io/front/turn.go
@@ -20,10 +20,16 @@
 	leastPart = 1.0 / 8
 	// rateMemory is the time over which the rate of turns is measured.
 	rateMemory = time.Second
+	// demandMemory is the time over which the demand is measured that slots are
+	// divided by; it is longer, as a division that changes often fits nobody.
+	demandMemory = 3 * time.Second
 	// leastPause is the shortest time after which a refused caller is asked back.
 	leastPause = 300 * time.Millisecond
 	// longestPause is the longest: a burst lasts a few seconds.
 	longestPause = 4 * time.Second
+	// pausePart of the time that a caller has left is the most that it is asked to
+	// stay away; callers heed no more than a third.
+	pausePart = 0.33
 	// unmeasured is the pause asked for when no rate has been measured.
 	unmeasured = time.Second
 )
@@ -56,6 +62,17 @@
 	waited   time.Duration
 }
 
+// asked counts a request that wants a turn.
+func (q *queue) asked(now time.Duration) {
+	q.demand = q.want(now) + 1/demandMemory.Seconds()
+	q.demandAt = now
+}
+
+// want returns the requests a second that want a turn.
+func (q *queue) want(now time.Duration) float64 {
+	return q.demand * math.Exp(-float64(now-q.demandAt)/float64(demandMemory))
+}
+
 // queue returns the line before a service.
 func (s *state) queue(service string) *queue {
 	q := s.lines[service]
@@ -118,7 +135,7 @@
 		}
 		s.changed = true
 		n := l.line.Ahead(wt.place)
-		return turn{err: why, ahead: n, retry: f.pause(now, s, l, n), waited: now - wt.arrived}
+		return turn{err: why, ahead: n, retry: q.pause(now, s, l, n), waited: now - wt.arrived}
 	})
 }
 
@@ -126,6 +143,7 @@
 // late.
 func (f *Front) join(now time.Duration, s *state, w *waiter, q *request, patience time.Duration) *turn {
 	l := s.queue(w.service)
+	l.asked(now)
 	w.arrived = now
 	w.place = line.Place{Rank: q.rank, Order: q.route.Rank, Late: q.late, Arrived: now}
 	w.ticket = l.line.Join(w.place, w)
@@ -140,14 +158,19 @@
 		return nil
 	}
 	l.line.Leave(w.ticket)
-	return &turn{err: errBacklog, ahead: n, expected: e, retry: f.pause(now, s, l, n)}
+	return &turn{err: errBacklog, ahead: n, expected: e, retry: q.pause(now, s, l, n)}
 }
 
-// pause returns when a refused caller is asked back, spread so that those refused
-// together don't return together.
-func (f *Front) pause(now time.Duration, s *state, l *queue, ahead int) time.Duration {
-	e := min(longestPause, max(leastPause, l.expect(now, ahead)))
-	return time.Duration(float64(e) * (1 + s.random.Float64()))
+// pause returns when a refused caller is asked back. A pause makes most callers
+// late, so they are asked back when the rush may be over rather than at once, and
+// spread, so that those refused together don't return together.
+func (q *request) pause(now time.Duration, s *state, l *queue, ahead int) time.Duration {
+	longest := longestPause
+	if !q.deadline.IsZero() {
+		longest = min(longest, time.Duration(pausePart*float64(time.Until(q.deadline))))
+	}
+	e := max(leastPause, l.expect(now, ahead), longest/2)
+	return max(leastPause, min(longest, time.Duration(float64(e)*(1+s.random.Float64()))))
 }
 
 // pump gives free slots to those whose turn it is.
