--- a/core/line/line.go
+++ b/core/line/line.go
@@ -3,25 +3,37 @@
 // # Usage
 //
 //	l := line.New[*request]()
-//	n := l.Join(line.Place{Rank: 1, Arrived: now}, r)
-//	l.Each(func(p line.Place, r *request) bool { return take(r) })
-//	l.Leave(n)
+//	t := l.Join(now, line.Place{Rank: 1, Order: 2, Arrived: now}, r)
+//	if p, r, ok := l.First(now); ok { l.Next(now) }
+//	l.Leave(t)
 //
-// The lowest rank goes first. Within a rank, requests that can still be on time
-// go before those that can't, then the order of arrival counts.
+// The lowest rank goes first. Requests of one rank wait in lanes by their route's
+// order. The lane that has got the smallest share of its requests served goes
+// first, where a more urgent lane is kept ahead of the next by Margin: under
+// overload no kind starves, and a more urgent kind is never served less often than
+// one below it. Requests that can still be on time go before those that can't.
 package line
 
 import (
+	"math"
 	"time"
 
 	"kingcupstand/core/heap"
 )
 
+// Margin is the part of its requests by which a lane is served more often than the
+// next less urgent one. It must cover the error of shares that are measured over a
+// few seconds, of about a twentieth.
+const Margin = 0.1
+
+// memory is the time over which shares are measured: bursts last a few seconds.
+const memory = 4 * time.Second
+
 // Place is what a request's turn follows from.
 type Place struct {
 	// Rank is the tier; 0 goes first.
 	Rank int
-	// Order is the route's own rank, where the workspace's goes before it.
+	// Order is the route's own rank within the tier; 0 is the most urgent.
 	Order int
 	// Late is true if the request has missed its goal already.
 	Late    bool
@@ -29,13 +41,9 @@
 	number  uint64
 }
 
-// Before reports whether p's turn comes before q's.
-func (p Place) Before(q Place) bool {
+// before reports whether p's turn comes before q's in one lane.
+func (p Place) before(q Place) bool {
 	switch {
-	case p.Rank != q.Rank:
-		return p.Rank < q.Rank
-	case p.Order != q.Order:
-		return p.Order < q.Order
 	case p.Late != q.Late:
 		return q.Late
 	case p.Arrived != q.Arrived:
@@ -50,61 +58,149 @@
 	value T
 }
 
+type key struct{ rank, order int }
+
+// lane holds the requests of one rank and order.
+type lane[T any] struct {
+	key    key
+	heap   *heap.Heap[waiter[T]]
+	asked  rate
+	turned rate
+}
+
+// rate counts events with a fading memory.
+type rate struct {
+	value float64
+	at    time.Duration
+}
+
+func (r *rate) get(now time.Duration) float64 {
+	return r.value * math.Exp(-float64(now-r.at)/float64(memory))
+}
+
+func (r *rate) add(now time.Duration) { r.value, r.at = r.get(now)+1, now }
+
 // Ticket is the handle of one waiting request.
 type Ticket[T any] struct {
-	node *heap.Node[waiter[T]]
+	lane  *lane[T]
+	node  *heap.Node[waiter[T]]
+	place Place
 }
 
 // Line holds waiting requests. It is not safe for concurrent use.
 type Line[T any] struct {
-	heap   *heap.Heap[waiter[T]]
+	lanes  map[key]*lane[T]
 	number uint64
 }
 
 // New returns an empty Line.
 func New[T any]() *Line[T] {
-	return &Line[T]{heap: heap.New(func(a, b waiter[T]) bool { return a.place.Before(b.place) })}
+	return &Line[T]{lanes: map[key]*lane[T]{}}
 }
 
 // Len returns the number of waiting requests.
-func (l *Line[T]) Len() int { return l.heap.Len() }
+func (l *Line[T]) Len() int {
+	n := 0
+	for _, a := range l.lanes {
+		n += a.heap.Len()
+	}
+	return n
+}
 
 // Join adds a request.
-func (l *Line[T]) Join(p Place, v T) *Ticket[T] {
+func (l *Line[T]) Join(now time.Duration, p Place, v T) *Ticket[T] {
+	k := key{p.Rank, p.Order}
+	a := l.lanes[k]
+	if a == nil {
+		a = &lane[T]{key: k, heap: heap.New(func(a, b waiter[T]) bool { return a.place.before(b.place) })}
+		l.lanes[k] = a
+	}
 	l.number++
 	p.number = l.number
-	return &Ticket[T]{node: l.heap.Push(waiter[T]{place: p, value: v})}
+	a.asked.add(now)
+	return &Ticket[T]{lane: a, node: a.heap.Push(waiter[T]{place: p, value: v}), place: p}
 }
 
 // Leave takes a request out. It reports false if it was not waiting.
-func (l *Line[T]) Leave(t *Ticket[T]) bool { return l.heap.Remove(t.node) }
+func (l *Line[T]) Leave(t *Ticket[T]) bool { return t.lane.heap.Remove(t.node) }
+
+// next returns the lane whose turn it is, or nil.
+func (l *Line[T]) next(now time.Duration) *lane[T] {
+	var best *lane[T]
+	var first Place
+	for _, a := range l.lanes {
+		w, ok := a.heap.Peek()
+		if ok && (best == nil || l.less(now, a, w.place, best, first)) {
+			best, first = a, w.place
+		}
+	}
+	return best
+}
+
+// less reports whether a's first request goes before b's.
+func (l *Line[T]) less(now time.Duration, a *lane[T], p Place, b *lane[T], q Place) bool {
+	if a.key.rank != b.key.rank {
+		return a.key.rank < b.key.rank
+	}
+	if p.Late != q.Late {
+		return q.Late
+	}
+	s, t := a.lead(now), b.lead(now)
+	if s != t {
+		return s < t
+	}
+	return a.key.order < b.key.order
+}
+
+// lead returns the lane's served share, less what its urgency entitles it to.
+func (a *lane[T]) lead(now time.Duration) float64 {
+	return a.turned.get(now)/max(1, a.asked.get(now)) + Margin*float64(a.key.order)
+}
 
 // First returns the request whose turn it is.
-func (l *Line[T]) First() (p Place, v T, ok bool) {
-	w, ok := l.heap.Peek()
-	return w.place, w.value, ok
+func (l *Line[T]) First(now time.Duration) (p Place, v T, ok bool) {
+	a := l.next(now)
+	if a == nil {
+		return p, v, false
+	}
+	w, _ := a.heap.Peek()
+	return w.place, w.value, true
 }
 
 // Next removes and returns the request whose turn it is.
-func (l *Line[T]) Next() (v T, ok bool) {
-	w, ok := l.heap.Pop()
-	return w.value, ok
+func (l *Line[T]) Next(now time.Duration) (v T, ok bool) {
+	a := l.next(now)
+	if a == nil {
+		return v, false
+	}
+	w, _ := a.heap.Pop()
+	a.turned.add(now)
+	return w.value, true
 }
 
-// Ahead returns how many requests have their turn before p.
-func (l *Line[T]) Ahead(p Place) int {
+// Ahead returns how many requests of its lane have their turn before a ticket's.
+func (l *Line[T]) Ahead(t *Ticket[T]) int {
 	n := 0
-	l.heap.Each(func(w waiter[T]) {
-		if w.place.Before(p) {
+	t.lane.heap.Each(func(w waiter[T]) {
+		if w.place.before(t.place) {
 			n++
 		}
 	})
 	return n
 }
 
+// Speed returns the turns a second of a ticket's lane.
+func (l *Line[T]) Speed(now time.Duration, t *Ticket[T]) float64 {
+	return t.lane.turned.get(now) / memory.Seconds()
+}
+
 // Ranks counts the waiting requests by rank.
 func (l *Line[T]) Ranks() map[int]int {
 	m := map[int]int{}
-	l.heap.Each(func(w waiter[T]) { m[w.place.Rank]++ })
+	for k, a := range l.lanes {
+		if n := a.heap.Len(); n > 0 {
+			m[k.rank] += n
+		}
+	}
 	return m
 }
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -72,9 +72,6 @@
 // queue is the line before one service.
 type queue struct {
 	line *line.Line[*waiter]
-	// rate is how many requests a second have lately left the line or passed it.
-	rate float64
-	at   time.Duration
 	// demand is how many requests a second have lately wanted a turn.
 	demand   float64
 	demandAt time.Duration
--- a/io/front/turn.go
+++ b/io/front/turn.go
@@ -18,8 +18,6 @@
 	goalPart = 0.85
 	// leastPart of a goal is always waited: fronts' views differ by about a beat.
 	leastPart = 1.0 / 8
-	// rateMemory is the time over which the rate of turns is measured.
-	rateMemory = time.Second
 	// demandMemory is the time over which the demand is measured that slots are
 	// divided by; it is longer, as a division that changes often fits nobody.
 	demandMemory = 3 * time.Second
@@ -46,7 +44,6 @@
 	service string
 	granted chan turn
 	ticket  *line.Ticket[*waiter]
-	place   line.Place
 	arrived time.Duration
 }
 
@@ -83,24 +80,13 @@
 	return q
 }
 
-// turned counts a turn.
-func (q *queue) turned(now time.Duration) {
-	q.rate = q.speed(now) + 1/rateMemory.Seconds()
-	q.at = now
-}
-
-// speed returns the turns a second.
-func (q *queue) speed(now time.Duration) float64 {
-	return q.rate * math.Exp(-float64(now-q.at)/float64(rateMemory))
-}
-
-// expect returns how long a request with the given number ahead will wait.
-func (q *queue) expect(now time.Duration, ahead int) time.Duration {
-	v := q.speed(now)
+// expect returns how long a request will wait for its turn.
+func (q *queue) expect(now time.Duration, t *line.Ticket[*waiter]) time.Duration {
+	v := q.line.Speed(now, t)
 	if v < 1 {
 		return unmeasured
 	}
-	return time.Duration(float64(ahead+1) / v * float64(time.Second))
+	return time.Duration(float64(q.line.Ahead(t)+1) / v * float64(time.Second))
 }
 
 // turn waits for a slot for at most the given time.
@@ -134,8 +120,10 @@
 			return <-wt.granted // the slot came just before
 		}
 		s.changed = true
-		n := l.line.Ahead(wt.place)
-		return turn{err: why, ahead: n, retry: q.pause(now, s, l, n), waited: now - wt.arrived}
+		return turn{
+			err: why, ahead: l.line.Ahead(wt.ticket), expected: l.expect(now, wt.ticket),
+			retry: q.pause(now, s, l, wt.ticket), waited: now - wt.arrived,
+		}
 	})
 }
 
@@ -145,31 +133,30 @@
 	l := s.queue(w.service)
 	l.asked(now)
 	w.arrived = now
-	w.place = line.Place{Rank: q.rank, Order: q.route.Rank, Late: q.late, Arrived: now}
-	w.ticket = l.line.Join(w.place, w)
+	w.ticket = l.line.Join(now, line.Place{Rank: q.rank, Order: q.route.Rank, Late: q.late, Arrived: now}, w)
 	f.pump(now, s, w.service)
 	if len(w.granted) > 0 {
 		return nil
 	}
 	s.changed = true
-	n := l.line.Ahead(w.place)
-	e := l.expect(now, n)
+	n := l.line.Ahead(w.ticket)
+	e := l.expect(now, w.ticket)
 	if e <= patience || n == 0 {
 		return nil
 	}
 	l.line.Leave(w.ticket)
-	return &turn{err: errBacklog, ahead: n, expected: e, retry: q.pause(now, s, l, n)}
+	return &turn{err: errBacklog, ahead: n, expected: e, retry: q.pause(now, s, l, w.ticket)}
 }
 
 // pause returns when a refused caller is asked back. A pause makes most callers
 // late, so they are asked back when the rush may be over rather than at once, and
 // spread, so that those refused together don't return together.
-func (q *request) pause(now time.Duration, s *state, l *queue, ahead int) time.Duration {
+func (q *request) pause(now time.Duration, s *state, l *queue, t *line.Ticket[*waiter]) time.Duration {
 	longest := longestPause
 	if !q.deadline.IsZero() {
 		longest = min(longest, time.Duration(pausePart*float64(time.Until(q.deadline))))
 	}
-	e := max(leastPause, l.expect(now, ahead), longest/2)
+	e := max(leastPause, l.expect(now, t), longest/2)
 	return max(leastPause, min(longest, time.Duration(float64(e)*(1+s.random.Float64()))))
 }
 
@@ -177,7 +164,7 @@
 func (f *Front) pump(now time.Duration, s *state, service string) {
 	l := s.queue(service)
 	for {
-		p, w, ok := l.line.First()
+		p, w, ok := l.line.First(now)
 		if !ok || !s.may(now, service, p.Rank) {
 			return
 		}
@@ -185,8 +172,7 @@
 		if err != nil {
 			return
 		}
-		l.line.Next()
-		l.turned(now)
+		l.line.Next(now)
 		s.changed = true
 		s.pool.Begin(now, c.ID, w.want.Prompt)
 		w.granted <- turn{choice: c, waited: now - w.arrived}
