--- a/core/past/past.go
+++ b/core/past/past.go
@@ -6,9 +6,10 @@
 //	p := past.New()
 //	spent := p.Spent(now, "route", 11200*time.Millisecond)
 //
-// Callers of one route give up after the same time, which they count from their
-// first attempt. The longest wait that was lately seen is that time, so the
-// difference to it has passed before this attempt.
+// Callers of one route give up after about the same time, which they count from
+// their first attempt: the longest wait that was lately seen. First attempts wait
+// for somewhat different times, so only a wait that is well below the longest one
+// tells a caller that was here before.
 package past
 
 import "time"
@@ -17,6 +18,9 @@
 // are first attempts, and a route's callers may change their limit.
 const memory = 10 * time.Second
 
+// first is the least part of the longest wait that first attempts have.
+const first = 0.84
+
 type longest struct {
 	now, before time.Duration
 	since       time.Duration
@@ -45,5 +49,9 @@
 		l.before, l.now, l.since = l.now, 0, now
 	}
 	l.now = max(l.now, wait)
-	return max(l.now, l.before) - wait
+	m := max(l.now, l.before)
+	if float64(wait) >= first*float64(m) {
+		return 0
+	}
+	return m - wait
 }
