--- a/core/line/line.go
+++ b/core/line/line.go
@@ -21,10 +21,11 @@
 	"kingcupstand/core/heap"
 )
 
-// Margin is the part of its requests by which a lane is served more often than the
-// next less urgent one. It must cover the error of shares that are measured over a
-// few seconds, of about a twentieth.
-const Margin = 0.1
+// Margin is the part of its requests by which the most urgent lane is served more
+// often than the next one; each further step is half as large. The steps must
+// cover the error of shares that are measured over a few seconds, of about a
+// twentieth.
+const Margin = 0.15
 
 // memory is the time over which shares are measured: bursts last a few seconds.
 const memory = 4 * time.Second
@@ -154,7 +155,7 @@
 
 // lead returns the lane's served share, less what its urgency entitles it to.
 func (a *lane[T]) lead(now time.Duration) float64 {
-	return a.turned.get(now)/max(1, a.asked.get(now)) + Margin*float64(a.key.order)
+	return a.turned.get(now)/max(1, a.asked.get(now)) + 2*Margin*(1-math.Exp2(-float64(a.key.order)))
 }
 
 // First returns the request whose turn it is.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -169,6 +169,38 @@
 	return ok && !t.Leaving && t.Born == born
 }
 
+// Load sums up what is believed of a service's targets.
+type Load struct {
+	// Targets take new work, and Usable ones are not in doubt.
+	Targets int
+	Usable  int
+	Slots   int
+	// Running is what all fronts have in flight, and Own this front's part.
+	Running int
+	Own     int
+	// Mine are the slots that belong to this front.
+	Mine int
+}
+
+// Load returns the load of a service.
+func (p *Pool) Load(now time.Duration, service string) Load {
+	var l Load
+	for _, t := range p.services[service] {
+		l.Running += t.running()
+		l.Own += t.own
+		if t.Leaving {
+			continue
+		}
+		l.Targets++
+		if t.usable(now) {
+			l.Usable++
+			l.Slots += t.limit()
+			l.Mine += t.mine
+		}
+	}
+	return l
+}
+
 // Targets returns the targets of a service that take new work.
 func (p *Pool) Targets(service string) []Target {
 	var ts []Target
--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -39,7 +39,7 @@
 const (
 	// connectTimeout is many times the way between data centres, and short enough
 	// to try another target within a caller's goal.
-	connectTimeout = 400 * time.Millisecond
+	connectTimeout = 200 * time.Millisecond
 	// unackedTimeout ends a connection whose bytes nobody confirms.
 	unackedTimeout = 1500 * time.Millisecond
 	// probeTime is the pause between probes of a silent connection.
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -111,19 +111,19 @@
 	if q.plan != nil {
 		revision = q.plan.Revision()
 	}
-	name, events := "", 0
+	name, events, gap := "", 0, time.Duration(0)
 	if q.route != nil {
 		name = q.route.Name
 	}
 	if q.out != nil {
-		events = q.out.events
+		events, gap = q.out.events, q.out.gap
 	}
 	f.log("request", "request ended", "request-id", q.call.ID, "status", status, "reason", reason, "detail", q.note.reason,
 		"route", name, "workspace", q.workspaceName(), "rank", q.rank, "late", q.late, "plan", revision, "service", q.service,
 		"targets", q.tried, "wait-ms", q.call.Wait.Milliseconds(), "prompt", q.call.Prompt, "output", q.call.Output,
 		"turn-ms", q.note.waited.Milliseconds(), "ahead", q.note.ahead, "expected-ms", q.note.expected.Milliseconds(),
 		"running", q.note.running, "predicted-ms", q.note.predicted.Milliseconds(), "first-ms", q.note.first.Milliseconds(),
-		"events", events, "peers", q.note.peers, "took-ms", time.Since(q.arrived).Milliseconds())
+		"events", events, "gap-ms", gap.Milliseconds(), "peers", q.note.peers, "took-ms", time.Since(q.arrived).Milliseconds())
 }
 
 // short returns the part of a reason that names its kind.
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -30,6 +30,8 @@
 	beatPauseEach = 3 * time.Millisecond
 	// quietPause is the longest time between two beats.
 	quietPause = 250 * time.Millisecond
+	// reportTime is how often the load is written to the log.
+	reportTime = time.Second
 	// divideTime is how often slots are divided anew.
 	divideTime = 500 * time.Millisecond
 	// fetchPatience is how long a newer document may take to come from the
@@ -53,8 +55,10 @@
 	// demands is each peer's demand, by service.
 	demands map[string]map[uint32]float64
 	divided time.Duration
-	heard   map[string]bool
-	beats   uint64
+	// told is when the load was last reported.
+	told  time.Duration
+	heard map[string]bool
+	beats uint64
 	// newer is since when a peer has held a newer document.
 	newer time.Duration
 	// changed is true if there is something that the last beat didn't say.
@@ -271,12 +275,27 @@
 		f.pump(now, s, name)
 	}
 	f.catchUp(now, s)
+	if now-s.told >= reportTime {
+		f.report(now, s, heard, all)
+	}
 	p := beatPause + time.Duration(all)*beatPauseEach
 	if now-s.sent >= quietPause || (s.changed && now-s.sent >= p) {
 		f.sendBeat(now, s)
 	}
 }
 
+// report writes what this front believes about the load of each service.
+func (f *Front) report(now time.Duration, s *state, heard, all int) {
+	s.told = now
+	for name, q := range s.lines {
+		l := s.pool.Load(now, name)
+		f.telem.Log.Info("load", "service", name, "targets", l.Targets, "usable", l.Usable, "slots", l.Slots, "running", l.Running,
+			"own", l.Own, "own-slots", l.Mine, "waiting", q.line.Len(), "demand", int(q.want(now)),
+			"retries-left", int(s.budget.Left(now, name)), "fronts-heard", heard, "fronts", all,
+			"plan", s.plan.Revision(), "list-age-ms", s.list.Age(now).Milliseconds())
+	}
+}
+
 // divide computes which slots belong to this front.
 func (f *Front) divide(now time.Duration, s *state) {
 	s.divided = now
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -20,6 +20,9 @@
 	// last is the id of the last whole event that was passed on.
 	last   string
 	events int
+	// passed is when an event was last passed on, and gap the longest pause.
+	passed time.Time
+	gap    time.Duration
 }
 
 // stream passes on a target's events until its answer ends.
@@ -83,6 +86,11 @@
 
 // pass writes whole events and sends them on their way.
 func (q *request) pass(es []event.Event) error {
+	now := time.Now()
+	if !q.out.passed.IsZero() {
+		q.out.gap = max(q.out.gap, now.Sub(q.out.passed))
+	}
+	q.out.passed = now
 	for _, v := range es {
 		if _, err := q.writer.Write(v.Text); err != nil {
 			return fmt.Errorf("write event: %w", err)
--- a/io/front/turn.go
+++ b/io/front/turn.go
@@ -24,7 +24,7 @@
 	// leastPause is the shortest time after which a refused caller is asked back.
 	leastPause = 300 * time.Millisecond
 	// longestPause is the longest: a burst lasts a few seconds.
-	longestPause = 4 * time.Second
+	longestPause = 6 * time.Second
 	// pausePart of the time that a caller has left is the most that it is asked to
 	// stay away; callers heed no more than a third.
 	pausePart = 0.33
