Credit for other fronts' slots: a target that comes back is not flooded

Cause: after ten targets came back, 23 fronts sent to all their slots at once; 749 requests ran on 612 slots.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -117,6 +117,14 @@
 	}
 }
 
+// Lend renews what may be sent to other fronts' slots, once for each round of
+// beats among so many fronts.
+func (p *Pool) Lend(fronts int) {
+	for _, t := range p.targets {
+		t.lend(fronts)
+	}
+}
+
 // Expect returns the time to the first byte at a target like the service's others
 // with nothing else to read.
 func (p *Pool) Expect(service string, prompt int) time.Duration {
@@ -141,7 +149,7 @@
 		t, ok := old[d.ID]
 		if !ok || t.Born != d.Born || t.Address != d.Address {
 			t = newTarget(p.fit(d.Service))
-			t.mine = d.Slots
+			t.credit = 1
 		}
 		t.Target = d
 		p.targets[d.ID] = t
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -66,6 +66,9 @@
 	// not led to a first event.
 	own    int
 	prompt int
+	// credit is how many more requests may go to other fronts' slots before the
+	// next beats.
+	credit float64
 	// mine is how many slots belong to this front.
 	mine int
 	fit  *fit
@@ -104,14 +107,26 @@
 }
 
 // room reports whether this front may send one more request. It fills its own
-// slots, and others' only while the target is far from full: what peers have
-// begun since their last beats is not seen yet.
+// slots, and others' only while the target is far from full and its credit lasts:
+// what peers have begun since their last beats is not seen yet.
 func (t *target) room() bool {
-	n, m := t.running(), t.limit()
-	if n >= m {
+	if t.running() >= t.limit() {
 		return false
 	}
-	return !t.Engine || t.own < t.mine || n < m-m/reserve
+	return !t.Engine || t.own < t.mine || (t.spare() > 0 && t.credit >= 1)
+}
+
+// spare returns how many of its slots the target has for any front.
+func (t *target) spare() int {
+	m := t.limit()
+	return max(0, m-m/reserve-t.running())
+}
+
+// lend renews the credit: all fronts together get what is spare, so that a target
+// that has just come or come back is not flooded by all of them.
+func (t *target) lend(fronts int) {
+	n := float64(t.spare())
+	t.credit = min(n, t.credit+n/float64(max(1, fronts)))
 }
 
 // usable reports whether the target may get work now. One that was in doubt gets
@@ -150,6 +165,9 @@
 }
 
 func (t *target) begin(now time.Duration, prompt int) {
+	if t.own >= t.mine {
+		t.credit = max(0, t.credit-1)
+	}
 	t.own++
 	t.prompt += prompt
 	if t.doubt > firstDoubt && now >= t.until {
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -55,6 +55,7 @@
 	// demands is each peer's demand, by service.
 	demands map[string]map[uint32]float64
 	divided time.Duration
+	lent    time.Duration
 	// told is when the load was last reported.
 	told  time.Duration
 	heard map[string]bool
@@ -268,6 +269,11 @@
 	s.quota.Reachable(now, heard, all)
 	s.budget.Share(all)
 	f.meter.peers.Update(float64(heard))
+	p := beatPause + time.Duration(all)*beatPauseEach
+	if now-s.lent >= p {
+		s.lent = now
+		s.pool.Lend(heard)
+	}
 	if now-s.divided >= divideTime {
 		f.divide(now, s)
 	}
@@ -278,7 +284,6 @@
 	if now-s.told >= reportTime {
 		f.report(now, s, heard, all)
 	}
-	p := beatPause + time.Duration(all)*beatPauseEach
 	if now-s.sent >= quietPause || (s.changed && now-s.sent >= p) {
 		f.sendBeat(now, s)
 	}
