--- a/core/line/line.go
+++ b/core/line/line.go
@@ -25,7 +25,7 @@
 // often than the next one; each further step is half as large. The steps must
 // cover the error of shares that are measured over a few seconds, of about a
 // twentieth.
-const Margin = 0.15
+const Margin = 0.4
 
 // memory is the time over which shares are measured: bursts last a few seconds.
 const memory = 4 * time.Second
