Slots are divided from eight fronts on; late requests wait briefly

Cause: with four or five fronts a division leaves slots idle more often than two fronts meet at one; requests whose goal has passed held places for a tenth of their time and then were refused.

--- a/core/line/line.go
+++ b/core/line/line.go
@@ -128,24 +128,19 @@
 // next returns the lane whose turn it is, or nil.
 func (l *Line[T]) next(now time.Duration) *lane[T] {
 	var best *lane[T]
-	var first Place
 	for _, a := range l.lanes {
-		w, ok := a.heap.Peek()
-		if ok && (best == nil || l.less(now, a, w.place, best, first)) {
-			best, first = a, w.place
+		if a.heap.Len() > 0 && (best == nil || l.less(now, a, best)) {
+			best = a
 		}
 	}
 	return best
 }
 
 // less reports whether a's first request goes before b's.
-func (l *Line[T]) less(now time.Duration, a *lane[T], p Place, b *lane[T], q Place) bool {
+func (l *Line[T]) less(now time.Duration, a, b *lane[T]) bool {
 	if a.key.rank != b.key.rank {
 		return a.key.rank < b.key.rank
 	}
-	if p.Late != q.Late {
-		return q.Late
-	}
 	s, t := a.lead(now), b.lead(now)
 	if s != t {
 		return s < t
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -50,6 +50,9 @@
 	longestDoubt = 3 * time.Second
 	// failMemory is the time in which the share of failures fades.
 	failMemory = 4 * time.Second
+	// divideFrom is the number of fronts from which slots are divided. Fewer meet
+	// at one target less often than a division leaves slots idle.
+	divideFrom = 8
 	// reserve: one slot in so many is left to the front that it belongs to. Between
 	// two beats about one request comes for each target.
 	reserve = 4
@@ -69,6 +72,8 @@
 	// credit is how many more requests may go to other fronts' slots before the
 	// next beats.
 	credit float64
+	// divided is true if slots belong to fronts.
+	divided bool
 	// mine is how many slots belong to this front.
 	mine int
 	fit  *fit
@@ -113,7 +118,7 @@
 	if t.running() >= t.limit() {
 		return false
 	}
-	return !t.Engine || t.own < t.mine || (t.spare() > 0 && t.credit >= 1)
+	return !t.Engine || !t.divided || t.own < t.mine || (t.spare() > 0 && t.credit >= 1)
 }
 
 // spare returns how many of its slots the target has for any front.
@@ -125,6 +130,7 @@
 // lend renews the credit: all fronts together get what is spare, so that a target
 // that has just come or come back is not flooded by all of them.
 func (t *target) lend(fronts int) {
+	t.divided = fronts >= divideFrom
 	n := float64(t.spare())
 	t.credit = min(n, t.credit+n/float64(max(1, fronts)))
 }
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -35,7 +35,7 @@
 	plainStop = 400 * time.Millisecond
 	// latePart of the time that a caller whose goal has passed will wait is spent
 	// in line; most of it is left for the answer.
-	latePart = 1.0 / 10
+	latePart = 1.0 / 150
 	// defaultBody bounds bodies while the plan sets no limit, in bytes.
 	defaultBody = 4 << 20
 	// sends is the most connections that are tried for one request, whether they
