--- /dev/null
+++ b/internal/stand/replica.go
@@ -0,0 +1,233 @@
+package stand
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Misdeed is what a replica does wrong with its next requests.
+type Misdeed string
+
+// Misdeeds of replicas.
+const (
+	Sound Misdeed = ""
+	// Full rejects the request and promises that it has not run.
+	Full Misdeed = "full"
+	// Failing runs the request and answers 500.
+	Failing Misdeed = "failing"
+	// CutEvents ends the connection within the third event of a stream.
+	CutEvents Misdeed = "cut-events"
+	// CutBody ends the connection within the body of a plain answer.
+	CutBody Misdeed = "cut-body"
+	// Lost runs the request and closes the connection without an answer.
+	Lost Misdeed = "lost"
+	// Foreign answers with another request's id.
+	Foreign Misdeed = "foreign"
+	// Unsigned answers without a receipt.
+	Unsigned Misdeed = "unsigned"
+	// Extra sends a second answer behind the first.
+	Extra Misdeed = "extra"
+	// Mute runs the request and never answers.
+	Mute Misdeed = "mute"
+)
+
+// Replica stands in for a replica on the users' platform.
+type Replica struct {
+	ID string
+	// Events is the length of a stream; 0 makes it a plain service.
+	Events int
+	// Pause is the time between two events, and to a plain answer.
+	Pause time.Duration
+
+	listen net.Listener
+	mu     sync.Mutex
+	doing  Misdeed
+	left   int
+	runs   map[string]int
+	seen   []*http.Request
+	conns  map[net.Conn]bool
+}
+
+// NewReplica returns a replica on a loopback address.
+func NewReplica(id string, events int, pause time.Duration) (*Replica, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("replica: %w", err)
+	}
+	r := &Replica{ID: id, Events: events, Pause: pause, listen: l, runs: map[string]int{}, conns: map[net.Conn]bool{}}
+	go r.run()
+	return r, nil
+}
+
+// Address returns IP:port.
+func (r *Replica) Address() string { return r.listen.Addr().String() }
+
+// Misbehave makes the next n requests meet a misdeed.
+func (r *Replica) Misbehave(m Misdeed, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.doing, r.left = m, n
+}
+
+// Runs returns how often the request with an id was run.
+func (r *Replica) Runs(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[id]
+}
+
+// Seen returns the heads of all requests that were run.
+func (r *Replica) Seen() []*http.Request {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]*http.Request(nil), r.seen...)
+}
+
+// Connections returns how many connections are open.
+func (r *Replica) Connections() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.conns)
+}
+
+// Close ends the replica and cuts all answers.
+func (r *Replica) Close() error {
+	err := r.listen.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		_ = c.Close() // it ends either way
+	}
+	return err
+}
+
+func (r *Replica) run() {
+	for {
+		c, err := r.listen.Accept()
+		if err != nil {
+			return // closed
+		}
+		r.mu.Lock()
+		r.conns[c] = true
+		r.mu.Unlock()
+		go r.loop(c)
+	}
+}
+
+// loop serves one connection.
+func (r *Replica) loop(c net.Conn) {
+	defer func() {
+		_ = c.Close() // nothing is left to say
+		r.mu.Lock()
+		delete(r.conns, c)
+		r.mu.Unlock()
+	}()
+	b := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(b)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			return
+		}
+		if !r.serve(c, q) {
+			return
+		}
+	}
+}
+
+// misdeed takes what the next request meets, and counts the request if it runs.
+func (r *Replica) misdeed(q *http.Request) Misdeed {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := Sound
+	if r.left > 0 {
+		r.left--
+		m = r.doing
+	}
+	if m != Full && q.Header.Get("Expect-Replica") == r.ID {
+		r.runs[q.Header.Get("Attempt-Id")]++
+		r.seen = append(r.seen, q)
+	}
+	return m
+}
+
+// serve answers one request. It reports false if the connection is to end.
+func (r *Replica) serve(c net.Conn, q *http.Request) bool {
+	m := r.misdeed(q)
+	id := q.Header.Get("Attempt-Id")
+	if q.Header.Get("Expect-Replica") != r.ID {
+		return write(c, "HTTP/1.1 421 Misdirected Request\r\nReplica-Id: %s\r\nContent-Length: 0\r\n\r\n", r.ID)
+	}
+	head := fmt.Sprintf("Attempt-Id: %s\r\nReplica-Stamp: %s.%s\r\n", id, r.ID, id)
+	switch m {
+	case Full:
+		return write(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	case Failing:
+		return write(c, "HTTP/1.1 500 Internal Server Error\r\n%sContent-Length: 6\r\n\r\nfailed", head)
+	case Lost:
+		return false
+	case Mute:
+		_, err := c.Read(make([]byte, 1))
+		return err == nil
+	case Foreign:
+		head = fmt.Sprintf("Attempt-Id: other\r\nReplica-Stamp: %s.other\r\n", r.ID)
+	case Unsigned:
+		head = fmt.Sprintf("Attempt-Id: %s\r\n", id)
+	}
+	if r.Events > 0 {
+		return r.stream(c, q, m, head)
+	}
+	time.Sleep(r.Pause)
+	b := PlainBody(r.ID, q)
+	if m == CutBody {
+		write(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(b)+10, b)
+		return false
+	}
+	ok := write(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(b), b)
+	if m == Extra {
+		write(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 5\r\n\r\nextra", head)
+	}
+	return ok
+}
+
+// PlainBody is the body of a plain answer.
+func PlainBody(id string, q *http.Request) string {
+	return fmt.Sprintf("%s %s %s", id, q.Method, q.RequestURI)
+}
+
+// EventText is the event with a number, as replicas send it.
+func EventText(n int) string { return fmt.Sprintf("id: %d\ndata: part %d\n\n", n, n) }
+
+func (r *Replica) stream(c net.Conn, q *http.Request, m Misdeed, head string) bool {
+	from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id")) // none means from the start
+	if !write(c, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", head) {
+		return false
+	}
+	for n := from + 1; n <= r.Events; n++ {
+		time.Sleep(r.Pause)
+		t := EventText(n)
+		if m == CutEvents && n == from+3 {
+			t = strings.TrimSuffix(t, "\n\n")
+			write(c, "%x\r\n%s\r\n", len(t), t)
+			return false
+		}
+		if !write(c, "%x\r\n%s\r\n", len(t), t) {
+			return false
+		}
+	}
+	return write(c, "0\r\n\r\n")
+}
+
+func write(c net.Conn, format string, args ...any) bool {
+	_, err := fmt.Fprintf(c, format, args...)
+	return err == nil
+}
