Answers to earlier requests are passed over, doubted targets are tried before a refusal

Causes, each seen red by a test of platform/: a second answer on a kept connection arrived behind the next request, whose own answer was given up (502); a service whose targets were all in doubt refused although one try would have served; a target believed slow was never tried again while others were idle, so the belief now fades; a planned stop reported the listener that it had closed itself.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -260,6 +260,9 @@
 			best, least = t, s
 		}
 	}
+	if best == nil && errors.Is(err, ErrNone) {
+		best = p.doubtful(w)
+	}
 	if best == nil {
 		return Choice{}, err
 	}
@@ -270,10 +273,25 @@
 		Running: best.running(),
 		Slots:   best.Slots,
 		Ahead:   best.ahead(w.Prompt),
-		Wait:    best.predict(w.Prompt),
+		Wait:    best.predict(now, w.Prompt),
 	}, nil
 }
 
+// doubtful returns the target whose doubt ends first, where all are in doubt: a
+// try is worth more to a caller than a refusal. Each gets one request at a time.
+func (p *Pool) doubtful(w Want) *target {
+	var best *target
+	for _, t := range p.services[w.Service] {
+		if t.Leaving || t.own > 0 || contains(w.Exclude, t.ID) {
+			continue
+		}
+		if best == nil || t.until < best.until {
+			best = t
+		}
+	}
+	return best
+}
+
 func contains(ids []string, id string) bool {
 	for _, i := range ids {
 		if i == id {
@@ -300,7 +318,7 @@
 // score is the predicted time to the first byte, weighted by what speaks against
 // the target.
 func (p *Pool) score(now time.Duration, t *target, w Want) time.Duration {
-	s := float64(t.predict(w.Prompt))
+	s := float64(t.predict(now, w.Prompt))
 	if t.DataCentre != p.dataCentre {
 		s += float64(distance)
 	}
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -56,6 +56,8 @@
 	// reserve: one slot in so many is left to the front that it belongs to. Between
 	// two beats about one request comes for each target.
 	reserve = 4
+	// slowMemory is the time in which the belief that a target is slow fades.
+	slowMemory = 10 * time.Second
 	// plainQueue is how many requests beyond its slots a plain service gets: its
 	// work is short, and it queues a few itself.
 	plainQueue = 2.0
@@ -78,9 +80,10 @@
 	mine int
 	fit  *fit
 	// factor is how many times slower than the service's others the target is.
-	factor float64
-	pace   time.Duration
-	fails  share
+	factor  float64
+	learned time.Duration
+	pace    time.Duration
+	fails   share
 	// full is until when the target is believed to have no room.
 	full time.Duration
 	// until is when a target in doubt may be tried again, and doubt the pause
@@ -162,12 +165,19 @@
 	return n
 }
 
+// slowness returns the factor by which the target is believed slower than others.
+// The belief fades while no answer confirms it: a target that was avoided for long
+// may have recovered.
+func (t *target) slowness(now time.Duration) float64 {
+	return math.Pow(t.factor, math.Exp(-float64(now-t.learned)/float64(slowMemory)))
+}
+
 // predict returns the time to the first byte of an answer.
-func (t *target) predict(prompt int) time.Duration {
+func (t *target) predict(now time.Duration, prompt int) time.Duration {
 	if !t.Engine {
-		return time.Duration(t.factor * float64(assumedService))
+		return time.Duration(t.slowness(now) * float64(assumedService))
 	}
-	return time.Duration(t.factor * float64(t.fit.at(t.ahead(prompt))))
+	return time.Duration(t.slowness(now) * float64(t.fit.at(t.ahead(prompt))))
 }
 
 func (t *target) begin(now time.Duration, prompt int) {
@@ -191,7 +201,8 @@
 		t.fit.add(ahead, time.Duration(float64(d)/t.factor))
 	}
 	r := min(slowest, max(fastest, float64(d)/float64(e)))
-	t.factor *= math.Pow(r/t.factor, learn)
+	f := t.slowness(now)
+	t.factor, t.learned = f*math.Pow(r/f, learn), now
 	t.trust(now)
 }
 
--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -46,13 +46,30 @@
 	// Pause is the time between two events, and to a plain answer.
 	Pause time.Duration
 
-	listen net.Listener
-	mu     sync.Mutex
-	doing  Misdeed
-	left   int
-	runs   map[string]int
-	seen   []*http.Request
-	conns  map[net.Conn]bool
+	listen  net.Listener
+	trouble *trouble
+	mu      sync.Mutex
+	runs    map[string]int
+	seen    []*http.Request
+	conns   map[net.Conn]bool
+}
+
+// trouble is what the next requests meet, at one replica or several.
+type trouble struct {
+	mu   sync.Mutex
+	next Misdeed
+	left int
+}
+
+// take returns what a request meets.
+func (t *trouble) take() Misdeed {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.left == 0 {
+		return Sound
+	}
+	t.left--
+	return t.next
 }
 
 // NewReplica returns a replica on a loopback address.
@@ -61,7 +78,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("replica: %w", err)
 	}
-	r := &Replica{ID: id, Events: events, Pause: pause, listen: l, runs: map[string]int{}, conns: map[net.Conn]bool{}}
+	r := &Replica{ID: id, Events: events, Pause: pause, listen: l, trouble: &trouble{}, runs: map[string]int{}, conns: map[net.Conn]bool{}}
 	go r.run()
 	return r, nil
 }
@@ -71,11 +88,15 @@
 
 // Misbehave makes the next n requests meet a misdeed.
 func (r *Replica) Misbehave(m Misdeed, n int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.doing, r.left = m, n
+	r.trouble.mu.Lock()
+	defer r.trouble.mu.Unlock()
+	r.trouble.next, r.trouble.left = m, n
 }
 
+// Share makes another replica's requests meet the misdeeds as well: whichever
+// gets the next request commits the next one. It must be called before requests.
+func (r *Replica) Share(o *Replica) { o.trouble = r.trouble }
+
 // Runs returns how often the request with an id was run.
 func (r *Replica) Runs(id string) int {
 	r.mu.Lock()
@@ -146,13 +167,9 @@
 
 // misdeed takes what the next request meets, and counts the request if it runs.
 func (r *Replica) misdeed(q *http.Request) Misdeed {
+	m := r.trouble.take()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m := Sound
-	if r.left > 0 {
-		r.left--
-		m = r.doing
-	}
 	if m != Full && q.Header.Get("Expect-Replica") == r.ID {
 		r.runs[q.Header.Get("Attempt-Id")]++
 		r.seen = append(r.seen, q)
--- a/io/beat/beat.go
+++ b/io/beat/beat.go
@@ -60,8 +60,15 @@
 	return &Beats{address: address, log: l, conn: c, listen: n}, nil
 }
 
-// Close closes the sockets, which ends Run.
-func (b *Beats) Close() error { return errors.Join(b.conn.Close(), b.listen.Close()) }
+// Close closes the sockets, which ends Run. The end of Serve has closed its own
+// already.
+func (b *Beats) Close() error {
+	err := b.listen.Close()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
+	return errors.Join(b.conn.Close(), err)
+}
 
 // Serve answers fetches until ctx ends.
 func (b *Beats) Serve(ctx context.Context, s wire.DRPCFrontServer) error {
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -84,6 +84,8 @@
 	prompt  int
 	outcome pool.Outcome
 	kept    bool
+	// stray is true if the connection carried an answer to another request.
+	stray bool
 }
 
 func (e *exchange) close() {
@@ -134,11 +136,39 @@
 		return verdict{arrived: true, ran: true, err: err}
 	}
 	e.guard()
-	a, err := conn.Receive(q.http.Method)
+	a, r, err := e.receive()
 	if err != nil {
 		return verdict{arrived: true, ran: true, err: err}
 	}
-	return e.answer(a)
+	return e.answer(a, r)
+}
+
+// strays is the most answers to earlier requests that are passed over.
+const strays = 2
+
+// receive reads the head of the answer. On a connection that was used before, a
+// second answer to an earlier request may come first: it belongs to nobody, and
+// the connection is not used again.
+func (e *exchange) receive() (*http.Response, Reply, error) {
+	q := e.request
+	for n := 0; ; n++ {
+		a, err := e.conn.Receive(q.http.Method)
+		if err != nil {
+			return nil, Reply{}, fmt.Errorf("receive: %w", err)
+		}
+		r := q.front.codec.Reply(a.StatusCode, a.Header)
+		if r.ID == "" || r.ID == q.call.ID {
+			return a, r, nil
+		}
+		e.stray = true
+		q.front.log("stray", "answer to another request", "request-id", q.call.ID, "answers", r.ID, "target", e.choice.ID, "reused", e.conn.Reused)
+		if !e.conn.Reused || n >= strays {
+			return nil, r, errForeign
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(a.Body, buffered)); err != nil {
+			return nil, r, errors.Join(errForeign, err)
+		}
+	}
 }
 
 func (q *request) workspaceName() string {
@@ -187,12 +217,8 @@
 }
 
 // answer handles an answer by what its head says.
-func (e *exchange) answer(a *http.Response) verdict {
+func (e *exchange) answer(a *http.Response, r Reply) verdict {
 	q := e.request
-	r := q.front.codec.Reply(a.StatusCode, a.Header)
-	if r.ID != "" && r.ID != q.call.ID {
-		return verdict{arrived: true, ran: true, err: errForeign}
-	}
 	if r.NotRun {
 		return e.notRun(a)
 	}
@@ -222,7 +248,7 @@
 
 // keep leaves the connection to the next request.
 func (e *exchange) keep(a *http.Response) {
-	if e.stop() {
+	if !e.stray && e.stop() {
 		e.kept = true
 		e.request.front.dialer.Put(e.conn, a)
 	}
