A peer's use of an allowance is charged between two beats only

Ruled out: the count of fronts heard (5 of 5 in the load lines), the plan (unchanged). Tests, seen red: TestFrontThatStartsLate, TestPeerAfterAPartition.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -36,8 +36,14 @@
 type life struct {
 	incarnation uint64
 	uses        Uses
+	heard       time.Duration
 }
 
+// Gap is the silence after which a peer's use is not charged any more: the part of
+// the rate that belongs to it was kept free meanwhile. It is as long as peers count
+// as heard.
+const Gap = 1200 * time.Millisecond
+
 // Quota is a front's view of all allowances. It is not safe for concurrent use.
 type Quota struct {
 	buckets map[uint32]*bucket
@@ -121,16 +127,22 @@
 	}
 }
 
-// Hear takes what a peer has used since it started.
+// Hear takes what a peer has used since it started. Only what it used between two
+// beats is charged: a first beat, or one after a gap, tells of a time in which this
+// front did not count on it.
 func (q *Quota) Hear(now time.Duration, peer string, incarnation uint64, us Uses) {
 	l := q.peers[peer]
-	if l == nil || l.incarnation != incarnation {
+	charged := l != nil && now-l.heard <= Gap
+	switch {
+	case l == nil:
 		l = &life{incarnation: incarnation, uses: Uses{}}
 		q.peers[peer] = l
+	case l.incarnation != incarnation:
+		l.incarnation, l.uses = incarnation, Uses{}
 	}
+	l.heard = now
 	for h, u := range us {
-		b := q.buckets[h]
-		if b != nil {
+		if b := q.buckets[h]; b != nil && charged {
 			q.fill(now, b)
 			b.level = min(b.workspace.Burst, b.level-(u-l.uses[h]))
 		}
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -70,6 +70,7 @@
 	q := quota.New(pool.Hash)
 	q.Configure(0, []*plan.Workspace{{Name: "w", Rate: 10, Burst: 100}})
 	h := pool.Hash("w")
+	q.Hear(0, "p", 1, quota.Uses{})
 	q.Hear(0, "p", 1, quota.Uses{h: 30})
 	q.Hear(0, "p", 2, quota.Uses{h: 5})
 	if got := q.Level(0, "w"); got != 65 {
@@ -96,3 +97,34 @@
 		t.Error("a workspace without allowance was refused")
 	}
 }
+
+// The pattern is a rolling restart under load: a front that starts hears what the
+// others have used since their own start, long before. That is no use of now.
+func TestFrontThatStartsLate(t *testing.T) {
+	q := quota.New(pool.Hash)
+	q.Configure(0, []*plan.Workspace{{Name: "w", Rate: 10, Burst: 100}})
+	h := pool.Hash("w")
+	q.Hear(0, "p", 1, quota.Uses{h: 1e6})
+	if got := q.Level(0, "w"); got != 100 {
+		t.Errorf("level %v after an old front was first heard, want 100", got)
+	}
+	q.Hear(0, "p", 1, quota.Uses{h: 1e6 + 30})
+	if got := q.Level(0, "w"); got != 70 {
+		t.Errorf("level %v, want 70", got)
+	}
+}
+
+// What a peer used behind a partition was kept free by filling at a part of the
+// rate; it is not charged once more when the partition heals.
+func TestPeerAfterAPartition(t *testing.T) {
+	q := quota.New(pool.Hash)
+	q.Configure(0, []*plan.Workspace{{Name: "w", Rate: 10, Burst: 100}})
+	h := pool.Hash("w")
+	q.Hear(0, "p", 1, quota.Uses{h: 0})
+	q.Reachable(time.Second, 1, 2)
+	back := 8 * time.Second
+	q.Hear(back, "p", 1, quota.Uses{h: 5000})
+	if got := q.Level(back, "w"); got != 100 {
+		t.Errorf("level %v after the partition, want 100", got)
+	}
+}
