--- a/io/front/front.go
+++ b/io/front/front.go
@@ -66,6 +66,8 @@
 	stopAt   atomic.Pointer[time.Time]
 	inflight atomic.Int64
 	fetching atomic.Bool
+	// fronts is how many are heard, this one included.
+	fronts atomic.Int64
 }
 
 var (
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -240,6 +240,9 @@
 	})
 }
 
+// Fronts implements Sink.
+func (f *Front) Fronts() int { return int(f.fronts.Load()) }
+
 // runBeats tells peers what this front has in flight until ctx ends.
 func (f *Front) runBeats(ctx context.Context) {
 	t := time.NewTicker(beatPause)
@@ -269,6 +272,7 @@
 	s.quota.Reachable(now, heard, all)
 	s.budget.Share(all)
 	f.meter.peers.Update(float64(heard))
+	f.fronts.Store(int64(heard))
 	p := beatPause + time.Duration(all)*beatPauseEach
 	if now-s.lent >= p {
 		s.lent = now
