--- /dev/null
+++ b/io/dial/dial_test.go
@@ -0,0 +1,122 @@
+package dial_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"kingcupstand/io/dial"
+)
+
+// target answers each request on a connection with the given bytes.
+func target(t *testing.T, answer string) (address string, accepted func() int) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	n := make(chan struct{}, 100)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return // closed
+			}
+			n <- struct{}{}
+			go func() {
+				defer c.Close()
+				b := bufio.NewReader(c)
+				for {
+					q, err := http.ReadRequest(b)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, q.Body); err != nil {
+						return
+					}
+					if _, err := io.WriteString(c, answer); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), func() int { return len(n) }
+}
+
+func exchange(t *testing.T, d *dial.Dialer, address string, a dial.Age) *dial.Conn {
+	t.Helper()
+	c, err := d.Get(context.Background(), address, a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Send(dial.Request{Method: http.MethodPost, Target: "/a//b?c", Host: "h", Header: http.Header{}, Body: []byte("x")}); err != nil {
+		t.Fatal(err)
+	}
+	r, err := c.Receive(http.MethodPost)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		t.Fatal(err)
+	}
+	d.Put(c, r)
+	return c
+}
+
+func TestConnectionsAreKeptOrNot(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		pause  time.Duration
+		kept   bool
+	}{
+		"kept":              {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny", 0, true},
+		"asked to close":    {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\ny", 0, false},
+		"stray bytes":       {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nyHTTP/1.1 200 OK\r\n", 50 * time.Millisecond, false},
+		"idle for too long": {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 1\r\n\r\ny", 700 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, accepted := target(t, c.answer)
+			d := dial.New(logr.Discard())
+			exchange(t, d, a, dial.Kept)
+			time.Sleep(c.pause)
+			exchange(t, d, a, dial.Kept)
+			if want := map[bool]int{true: 1, false: 2}[c.kept]; accepted() != want {
+				t.Errorf("%d connections, want %d", accepted(), want)
+			}
+		})
+	}
+}
+
+// A request that must not meet a close gets a younger connection than others.
+func TestFreshConnectionsAreYounger(t *testing.T) {
+	a, accepted := target(t, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 1\r\n\r\ny")
+	d := dial.New(logr.Discard())
+	exchange(t, d, a, dial.Kept)
+	time.Sleep(450 * time.Millisecond)
+	exchange(t, d, a, dial.Fresh)
+	if accepted() != 2 {
+		t.Errorf("%d connections, want 2", accepted())
+	}
+}
+
+func TestNothingIsSentWithoutAConnection(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := l.Addr().String()
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := dial.New(logr.Discard()).Get(context.Background(), a, dial.Kept); err == nil {
+		t.Error("connected to a closed port")
+	}
+}
