--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -130,5 +130,6 @@
 	p.add("engine", "Run a stand-in model engine", &engineCommand{streams: s})
 	p.add("service", "Run a stand-in plain service", &serviceCommand{streams: s})
 	p.add("platform", "Run a stand-in platform", &platformCommand{streams: s})
+	p.add("store", "Run a stand-in of the users' platform with its replicas", &storeCommand{streams: s})
 	return p.run(args)
 }
--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -1,12 +1,9 @@
 package cli
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/zeromicro/go-zero/core/proc"
@@ -14,6 +11,7 @@
 	"kingcupstand/core/conf"
 	"kingcupstand/io/agent"
 	"kingcupstand/io/entry"
+	"kingcupstand/io/sigs"
 	"kingcupstand/io/telem"
 	"kingcupstand/schema/spec"
 )
@@ -34,32 +32,27 @@
 	Settings string `long:"settings" required:"true" value-name:"FILE" description:"settings of the process"`
 }
 
-// process is what both roles are once they are set up.
-type process interface {
-	Run(ctx context.Context, stop <-chan struct{}) error
-}
-
 var (
-	_ process = (*entry.Entry)(nil)
-	_ process = (*agent.Agent)(nil)
+	_ sigs.Process = (*entry.Entry)(nil)
+	_ sigs.Process = (*agent.Agent)(nil)
 )
 
 // Execute implements flags.Commander.
 func (c *entryCommand) Execute([]string) error {
-	return c.start(c.Settings, conf.RoleEntry, func(s *spec.Settings, t *telem.Telemetry) (process, error) {
+	return c.start(c.Settings, conf.RoleEntry, func(s *spec.Settings, t *telem.Telemetry) (sigs.Process, error) {
 		return entry.New(s, t)
 	})
 }
 
 // Execute implements flags.Commander.
 func (c *agentCommand) Execute([]string) error {
-	return c.start(c.Settings, conf.RoleAgent, func(s *spec.Settings, t *telem.Telemetry) (process, error) {
+	return c.start(c.Settings, conf.RoleAgent, func(s *spec.Settings, t *telem.Telemetry) (sigs.Process, error) {
 		return agent.New(s, t)
 	})
 }
 
 // start reads the settings, and runs the process until it is stopped.
-func (s streams) start(file string, role conf.Role, build func(*spec.Settings, *telem.Telemetry) (process, error)) error {
+func (s streams) start(file string, role conf.Role, build func(*spec.Settings, *telem.Telemetry) (sigs.Process, error)) error {
 	c, err := s.settings(file, role)
 	if err != nil {
 		return err
@@ -74,7 +67,7 @@
 	if err != nil {
 		return errors.Join(err, t.Close())
 	}
-	return errors.Join(runUntilStopped(p, time.Duration(c.GraceSeconds)*time.Second), t.Close())
+	return errors.Join(sigs.Run(p, time.Duration(c.GraceSeconds)*time.Second, nil), t.Close())
 }
 
 // settings reads a settings file for the given role.
@@ -100,39 +93,3 @@
 		fmt.Fprintf(s.log, "%s: %s\n", file, p)
 	}
 }
-
-// runUntilStopped runs a process. The first signal starts a planned stop; the
-// second one, or the end of the grace period, cuts it short.
-func runUntilStopped(p process, grace time.Duration) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	c := make(chan os.Signal, 2)
-	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(c)
-	w := &stopper{signals: c, stop: make(chan struct{}), cancel: cancel, grace: grace}
-	go w.run(ctx)
-	return p.Run(ctx, w.stop)
-}
-
-// stopper turns signals into a planned stop.
-type stopper struct {
-	signals <-chan os.Signal
-	stop    chan struct{}
-	cancel  context.CancelFunc
-	grace   time.Duration
-}
-
-func (s *stopper) run(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-s.signals:
-	}
-	close(s.stop)
-	select {
-	case <-ctx.Done():
-	case <-s.signals:
-	case <-time.After(s.grace):
-	}
-	s.cancel()
-}
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -74,6 +76,53 @@
 	return c.serve(c.Listen, stand.NewPlatform(d, l))
 }
 
+// storeCommand runs a stand-in of the users' platform: its store, which lists
+// replicas that the same process serves.
+type storeCommand struct {
+	streams
+	Listen        string        `long:"listen" required:"true" value-name:"IP:PORT" description:"address of the store"`
+	Configuration string        `long:"configuration" required:"true" value-name:"FILE" description:"configuration to publish, as the platform's operators write it"`
+	Replicas      []string      `long:"replica" required:"true" value-name:"SERVICE[:EVENTS]" description:"a replica of a service; with a number of events it answers with streams (repeat for more)"`
+	Pause         time.Duration `long:"pause" default:"20ms" description:"time between events, and of a plain call"`
+}
+
+// Execute implements flags.Commander.
+func (c *storeCommand) Execute([]string) error {
+	b, err := os.ReadFile(c.Configuration)
+	if err != nil {
+		return errors.Join(errInput, err)
+	}
+	s := stand.NewStore()
+	s.Put("op/config", b)
+	for i, d := range c.Replicas {
+		r, err := c.replica(s, fmt.Sprintf("i-%d", i+1), d)
+		if err != nil {
+			return err
+		}
+		defer r.Close()
+	}
+	return c.serve(c.Listen, s)
+}
+
+// replica starts a replica and lists it.
+func (c *storeCommand) replica(s *stand.Store, id, description string) (*stand.Replica, error) {
+	service, n, streams := strings.Cut(description, ":")
+	events := 0
+	if streams {
+		var err error
+		if events, err = strconv.Atoi(n); err != nil || events < 1 {
+			return nil, fmt.Errorf("%w: replica %q: the number of events must be above 0", errInput, description)
+		}
+	}
+	r, err := stand.NewReplica(id, events, c.Pause)
+	if err != nil {
+		return nil, fmt.Errorf("start replica: %w", err)
+	}
+	s.List(r, service)
+	fmt.Fprintf(c.log, "replica %s of %s on %s\n", id, service, r.Address())
+	return r, nil
+}
+
 // serve answers requests until a signal comes.
 func (s streams) serve(address string, h http.Handler) error {
 	n, err := net.Listen("tcp", address)
--- a/internal/stand/store.go
+++ b/internal/stand/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sort"
 	"strconv"
@@ -42,6 +43,21 @@
 	s.change(storeItem{Key: key, Value: base64.StdEncoding.EncodeToString(value)})
 }
 
+// List lists a replica of a service, ready for work.
+func (s *Store) List(r *Replica, service string) { s.register(r, service, "ready") }
+
+// Leave lists a replica of a service as one that is leaving.
+func (s *Store) Leave(r *Replica, service string) { s.register(r, service, "draining") }
+
+// replicaSlots is how many requests a listed replica runs at once.
+const replicaSlots = 4
+
+func (s *Store) register(r *Replica, service, state string) {
+	s.Put("servers/"+r.ID, fmt.Appendf(nil,
+		`{"service":%q,"address":%q,"zone":"z1","version":"v1","slots":%d,"state":%q,"cold_remaining_ms":0,"sequence":1}`,
+		service, r.Address(), replicaSlots, state))
+}
+
 // Delete removes a key.
 func (s *Store) Delete(key string) { s.change(storeItem{Key: key, Deleted: true}) }
 
