--- /dev/null
+++ b/core/conf/front.go
@@ -0,0 +1,77 @@
+package conf
+
+import (
+	"net/netip"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"sigs.k8s.io/yaml"
+
+	"kingcupstand/schema/spec"
+)
+
+// ParseFront reads and checks the settings of a front. Unlike in other files,
+// unknown keys are taken: the platform that fills them in may know newer ones.
+func ParseFront(text []byte) (*spec.Front, []Problem) {
+	var ps problems
+	j, err := yaml.YAMLToJSON(text)
+	if err != nil {
+		ps.add("", "not YAML: %s", oneLine(err))
+		return nil, ps
+	}
+	s := &spec.Front{}
+	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(j, s); err != nil {
+		ps.add("", "%s", oneLine(err))
+		return nil, ps
+	}
+	ps.front(s)
+	if len(ps) > 0 {
+		return nil, ps
+	}
+	return s, nil
+}
+
+func (p *problems) front(s *spec.Front) {
+	if s.Name == "" {
+		p.add("name", "expected the process's name")
+	}
+	for _, a := range []struct {
+		path, value string
+		optional    bool
+	}{
+		{"callers", s.Callers, false},
+		{"readiness", s.Readiness, false},
+		{"peer", s.Peer, false},
+		{"store", s.Store, false},
+		{"metrics", s.Metrics, true},
+		{"control", s.Control, true},
+	} {
+		if a.value != "" || !a.optional {
+			p.ipPort(a.path, a.value)
+		}
+	}
+	for _, a := range s.Seeds {
+		p.ipPort("seeds", a)
+	}
+	for _, t := range []struct {
+		path string
+		ms   uint32
+	}{{"grace-ms", s.GraceMs}, {"retry-window-ms", s.RetryWindowMs}, {"drain-ms", s.DrainMs}} {
+		if t.ms == 0 {
+			p.add(t.path, "expected a time above 0, in milliseconds")
+		}
+	}
+	if s.RetryRatio < 0 || s.RetrySlack < 0 {
+		p.add("retry-ratio", "expected a ratio and a slack of at least 0")
+	}
+	switch s.GetLogs().GetLevel() {
+	case "", "debug", "info", "error":
+	default:
+		p.add("logs.level", "expected debug, info or error")
+	}
+}
+
+func (p *problems) ipPort(path, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		p.add(path, "%q: expected IP:port", value)
+	}
+}
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -49,6 +49,9 @@
 	case has(m, "instances"):
 		_, ps := conf.ParseInstances(b)
 		return ps
+	case has(m, "callers"):
+		_, ps := conf.ParseFront(b)
+		return ps
 	case has(m, "listen"), has(m, "platform"), has(m, "data-centre"):
 		_, ps := conf.ParseSettings(b)
 		return ps
