--- a/core/line/line.go
+++ b/core/line/line.go
@@ -30,6 +30,12 @@
 // memory is the time over which shares are measured: bursts last a few seconds.
 const memory = 4 * time.Second
 
+// unmeasured is the wait that is expected while nothing has been measured.
+const unmeasured = time.Second
+
+// holdLearn is the weight of one request in the mean time that slots are kept.
+const holdLearn = 0.05
+
 // Place is what a request's turn follows from.
 type Place struct {
 	// Rank is the tier; 0 goes first.
@@ -88,10 +94,15 @@
 	place Place
 }
 
+// Value returns the request.
+func (t *Ticket[T]) Value() T { return t.node.Value.value }
+
 // Line holds waiting requests. It is not safe for concurrent use.
 type Line[T any] struct {
 	lanes  map[key]*lane[T]
 	number uint64
+	// hold is the mean time that a request keeps its slot.
+	hold time.Duration
 }
 
 // New returns an empty Line.
@@ -185,9 +196,26 @@
 	return n
 }
 
-// Speed returns the turns a second of a ticket's lane.
-func (l *Line[T]) Speed(now time.Duration, t *Ticket[T]) float64 {
-	return t.lane.turned.get(now) / memory.Seconds()
+// Held learns how long a request kept its slot.
+func (l *Line[T]) Held(d time.Duration) {
+	if l.hold == 0 {
+		l.hold = d
+	}
+	l.hold += time.Duration(holdLearn * float64(d-l.hold))
+}
+
+// Expect returns how long a ticket will wait for its turn: by the turns that its
+// lane has lately got, or by how fast the given number of slots comes free,
+// whichever is sooner. Before a rush a lane's turns only tell how few were asked.
+func (l *Line[T]) Expect(now time.Duration, t *Ticket[T], slots float64) time.Duration {
+	e := unmeasured
+	if v := t.lane.turned.get(now) / memory.Seconds(); v >= 1 {
+		e = time.Duration(float64(l.Ahead(t)+1) / v * float64(time.Second))
+	}
+	if l.hold > 0 && slots > 0 {
+		e = min(e, time.Duration(float64(l.Len())*float64(l.hold)/slots))
+	}
+	return e
 }
 
 // Ranks counts the waiting requests by rank.
--- a/core/line/line_test.go
+++ b/core/line/line_test.go
@@ -97,3 +97,27 @@
 		t.Error("an empty line has a next request")
 	}
 }
+
+// The pattern is a rush after a quiet time: one request a second, then ten at once,
+// before 30 slots that are kept for a second each. The few turns of the quiet time
+// don't make the rush look hopeless.
+func TestRushAfterAQuietTime(t *testing.T) {
+	l := line.New[int]()
+	now := time.Duration(0)
+	for i := range 20 {
+		now = time.Duration(i) * time.Second
+		l.Join(now, line.Place{Arrived: now}, i)
+		l.Next(now)
+		l.Held(time.Second)
+	}
+	var last *line.Ticket[int]
+	for i := range 10 {
+		last = l.Join(now, line.Place{Arrived: now}, i)
+	}
+	if e := l.Expect(now, last, 30); e > 400*time.Millisecond {
+		t.Errorf("expected wait %v, want about a third of a second", e)
+	}
+	if e := l.Expect(now, last, 0.1); e < time.Second {
+		t.Errorf("expected wait %v with a tenth of a slot", e)
+	}
+}
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -149,6 +149,18 @@
 	return heard, all
 }
 
+// Before returns how many of the fronts that are heard come before this one in an
+// order that all agree on.
+func (p *Peers) Before(now time.Duration) int {
+	n := 0
+	for a := range p.peers {
+		if a < p.self && p.Heard(now, a) {
+			n++
+		}
+	}
+	return n
+}
+
 // Audience returns who the next beat goes to.
 func (p *Peers) Audience(r *rand.Rand) []string {
 	var as []string
--- a/core/peers/peers_test.go
+++ b/core/peers/peers_test.go
@@ -93,3 +93,17 @@
 		t.Error("a silent peer is asked")
 	}
 }
+
+// Whatever part of the fronts hears each other, some of them come first in it.
+func TestSomeFrontsComeFirst(t *testing.T) {
+	p := peers.New("b", nil)
+	for _, a := range []string{"a", "c", "d"} {
+		p.Hear(0, peers.Beat{Peer: a, Incarnation: 1, Sequence: 1})
+	}
+	if n := p.Before(0); n != 1 {
+		t.Errorf("%d before b, want 1", n)
+	}
+	if n := p.Before(2 * peers.HeardFor); n != 0 {
+		t.Errorf("%d before b when a is not heard, want 0", n)
+	}
+}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -6,7 +6,7 @@
 //	q := quota.New()
 //	q.Configure(workspaces)
 //	wait, ok := q.Take(now, "workspace", 1500)
-//	q.Hear(now, "192.0.2.7:7600", incarnation, uses)
+//	q.Hear(now, "192.0.2.7:7600", incarnation, false, uses)
 //	q.Reachable(4, 5)
 //
 // Each front keeps a token bucket for a workspace that everybody's use drains:
@@ -22,8 +22,16 @@
 	"kingcupstand/core/plan"
 )
 
-// Uses is what a front has used since it started, by workspace.
-type Uses map[uint32]float64
+// Use is what a front says of one workspace.
+type Use struct {
+	// Used counts what the front has used since it started.
+	Used float64
+	// Level is what is left of the allowance by the front's own count.
+	Level float64
+}
+
+// Uses are a front's uses by workspace.
+type Uses map[uint32]Use
 
 type bucket struct {
 	workspace *plan.Workspace
@@ -129,10 +137,13 @@
 
 // Hear takes what a peer has used since it started. Only what it used between two
 // beats is charged: a first beat, or one after a gap, tells of a time in which this
-// front did not count on it.
-func (q *Quota) Hear(now time.Duration, peer string, incarnation uint64, us Uses) {
+// front did not count on it. A young peer has started just now, so that all it has
+// used is charged. A front that has just started itself has a full bucket, which an
+// older peer's count corrects when it is first heard.
+func (q *Quota) Hear(now time.Duration, peer string, incarnation uint64, young bool, us Uses) {
 	l := q.peers[peer]
-	charged := l != nil && now-l.heard <= Gap
+	charged := young || (l != nil && now-l.heard <= Gap)
+	first := l == nil
 	switch {
 	case l == nil:
 		l = &life{incarnation: incarnation, uses: Uses{}}
@@ -142,20 +153,28 @@
 	}
 	l.heard = now
 	for h, u := range us {
-		if b := q.buckets[h]; b != nil && charged {
+		b := q.buckets[h]
+		switch {
+		case b == nil:
+		case charged:
 			q.fill(now, b)
-			b.level = min(b.workspace.Burst, b.level-(u-l.uses[h]))
+			b.level = min(b.workspace.Burst, b.level-(u.Used-l.uses[h].Used))
+		case first:
+			q.fill(now, b)
+			b.level = min(b.level, u.Level)
 		}
 		l.uses[h] = u
 	}
 }
 
-// Uses returns what this front has used since it started, for peers.
-func (q *Quota) Uses() Uses {
+// Uses returns what this front has used since it started, and what it believes is
+// left, for peers.
+func (q *Quota) Uses(now time.Duration) Uses {
 	us := Uses{}
 	for h, b := range q.buckets {
-		if b.used != 0 {
-			us[h] = b.used
+		if b.workspace.Rate > 0 {
+			q.fill(now, b)
+			us[h] = Use{Used: b.used, Level: b.level}
 		}
 	}
 	return us
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -48,7 +48,7 @@
 						heard++
 					}
 					if i != j && same(now, i, j) {
-						p.Hear(now, string(rune('a'+i)), 1, q.Uses())
+						p.Hear(now, string(rune('a'+i)), 1, false, q.Uses(now))
 					}
 				}
 				q.Reachable(now, heard, n)
@@ -70,9 +70,9 @@
 	q := quota.New(pool.Hash)
 	q.Configure(0, []*plan.Workspace{{Name: "w", Rate: 10, Burst: 100}})
 	h := pool.Hash("w")
-	q.Hear(0, "p", 1, quota.Uses{})
-	q.Hear(0, "p", 1, quota.Uses{h: 30})
-	q.Hear(0, "p", 2, quota.Uses{h: 5})
+	q.Hear(0, "p", 1, false, quota.Uses{})
+	q.Hear(0, "p", 1, false, quota.Uses{h: {Used: 30, Level: 100}})
+	q.Hear(0, "p", 2, false, quota.Uses{h: {Used: 5, Level: 100}})
 	if got := q.Level(0, "w"); got != 65 {
 		t.Errorf("level %v, want 65", got)
 	}
@@ -104,11 +104,11 @@
 	q := quota.New(pool.Hash)
 	q.Configure(0, []*plan.Workspace{{Name: "w", Rate: 10, Burst: 100}})
 	h := pool.Hash("w")
-	q.Hear(0, "p", 1, quota.Uses{h: 1e6})
+	q.Hear(0, "p", 1, false, quota.Uses{h: {Used: 1e6, Level: 100}})
 	if got := q.Level(0, "w"); got != 100 {
 		t.Errorf("level %v after an old front was first heard, want 100", got)
 	}
-	q.Hear(0, "p", 1, quota.Uses{h: 1e6 + 30})
+	q.Hear(0, "p", 1, false, quota.Uses{h: {Used: 1e6 + 30, Level: 100}})
 	if got := q.Level(0, "w"); got != 70 {
 		t.Errorf("level %v, want 70", got)
 	}
@@ -120,11 +120,83 @@
 	q := quota.New(pool.Hash)
 	q.Configure(0, []*plan.Workspace{{Name: "w", Rate: 10, Burst: 100}})
 	h := pool.Hash("w")
-	q.Hear(0, "p", 1, quota.Uses{h: 0})
+	q.Hear(0, "p", 1, false, quota.Uses{h: {Used: 0, Level: 100}})
 	q.Reachable(time.Second, 1, 2)
 	back := 8 * time.Second
-	q.Hear(back, "p", 1, quota.Uses{h: 5000})
+	q.Hear(back, "p", 1, false, quota.Uses{h: {Used: 5000, Level: 100}})
 	if got := q.Level(back, "w"); got != 100 {
 		t.Errorf("level %v after the partition, want 100", got)
 	}
 }
+
+// The pattern is a kill of all fronts at once while one workspace sends many times
+// its allowance: each front starts with a full burst, but what the others use from
+// their start on is charged from the first beat.
+func TestHotWorkspaceAfterAKillOfAllFronts(t *testing.T) {
+	const n, rate, burst, cost = 20, 1000.0, 1000.0, 20.0
+	qs := make([]*quota.Quota, n)
+	for i := range qs {
+		qs[i] = quota.New(pool.Hash)
+		qs[i].Configure(0, []*plan.Workspace{{Name: "w", Tokens: true, Rate: rate, Burst: burst}})
+	}
+	used := 0.0
+	for now := time.Duration(0); now < 8*time.Second; now += 50 * time.Millisecond {
+		for i, q := range qs {
+			if _, ok := q.Take(now, "w", cost); ok {
+				used += cost
+			}
+			if now%(250*time.Millisecond) == 0 {
+				for j, p := range qs {
+					if i != j {
+						p.Hear(now, string(rune('a'+i)), 2, now < 5*time.Second, q.Uses(now))
+					}
+				}
+			}
+		}
+	}
+	// The allowance, and what all fronts take between two beats.
+	if limit := rate*8 + burst + n*cost*5*2; used > limit {
+		t.Errorf("used %.0f of at most %.0f", used, limit)
+	}
+}
+
+// The pattern is a rolling restart while one workspace sends many times its
+// allowance: a front that starts does not bring a full burst with it each time.
+func TestHotWorkspaceInARollingRestart(t *testing.T) {
+	const n, rate, burst, cost = 20, 1000.0, 1000.0, 20.0
+	start := func() *quota.Quota {
+		q := quota.New(pool.Hash)
+		q.Configure(0, []*plan.Workspace{{Name: "w", Tokens: true, Rate: rate, Burst: burst}})
+		return q
+	}
+	qs := make([]*quota.Quota, n)
+	lives := make([]uint64, n)
+	since := make([]time.Duration, n)
+	for i := range qs {
+		qs[i] = start()
+	}
+	used := 0.0
+	for now := time.Duration(0); now < 8*time.Second; now += 50 * time.Millisecond {
+		if i := int(now / (400 * time.Millisecond)); now%(400*time.Millisecond) == 0 && i > 0 && i < n {
+			qs[i], since[i] = start(), now
+			qs[i].Configure(now, []*plan.Workspace{{Name: "w", Tokens: true, Rate: rate, Burst: burst}})
+			lives[i]++
+		}
+		for i, q := range qs {
+			if _, ok := q.Take(now, "w", cost); ok {
+				used += cost
+			}
+			if now%(250*time.Millisecond) == 0 {
+				for j, p := range qs {
+					if i != j {
+						p.Hear(now, string(rune('a'+i)), lives[i], now-since[i] < time.Second, q.Uses(now))
+					}
+				}
+			}
+		}
+	}
+	// The allowance, and what is left to overshoot by the users' rule: a quarter.
+	if limit := (rate*8 + burst) * 1.25; used > limit {
+		t.Errorf("used %.0f of at most %.0f", used, limit)
+	}
+}
--- a/io/front/codec.go
+++ b/io/front/codec.go
@@ -70,9 +70,9 @@
 	Confirm()
 	// Lost notes that the platform doesn't answer.
 	Lost(err error)
-	// Fronts returns how many fronts are heard, this one included; each tells the
-	// others what is new.
-	Fronts() int
+	// Lookout reports whether this front is one of the few that look at the platform
+	// often.
+	Lookout() bool
 }
 
 // Source reads the platform until ctx ends.
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -46,7 +46,7 @@
 	// checks of a balancer that asks once a second, and one on its way.
 	departure = 3200 * time.Millisecond
 	// lastPart of the grace period is left for the end of the process.
-	lastPart = 1.0 / 16
+	lastPart = 1.0 / 32
 )
 
 // Front is one process. It is safe for concurrent use.
@@ -67,7 +67,10 @@
 	inflight atomic.Int64
 	fetching atomic.Bool
 	// fronts is how many are heard, this one included.
-	fronts atomic.Int64
+	fronts  atomic.Int64
+	lookout atomic.Bool
+	// stopBegan is when the stop began.
+	stopBegan atomic.Pointer[time.Time]
 }
 
 var (
@@ -216,6 +219,8 @@
 	}
 	g := time.Duration(f.settings.GraceMs) * time.Millisecond
 	end := time.Now().Add(g - time.Duration(float64(g)*lastPart))
+	now := time.Now()
+	f.stopBegan.Store(&now)
 	f.stopAt.Store(&end)
 	f.stopping.Store(true)
 	f.telem.Log.Info("stopping", "in-flight", f.inflight.Load(), "grace-ms", f.settings.GraceMs)
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -29,9 +29,10 @@
 	// stopPause is when a caller that came to a stopping front is asked back; it
 	// will reach another one.
 	stopPause = 50 * time.Millisecond
-	// streamStop is the time that a stopping front wants for a new stream.
-	streamStop = 4500 * time.Millisecond
-	// plainStop is the same for other requests.
+	// streamStop after its stop began, a front takes no new streams: balancers have
+	// noticed by then, and a long stream would not end within the grace period.
+	streamStop = 2500 * time.Millisecond
+	// plainStop is the time that a stopping front wants for other new requests.
 	plainStop = 400 * time.Millisecond
 	// latePart of the time that a caller whose goal has passed will wait is spent
 	// in line; most of it is left for the answer.
@@ -216,17 +217,16 @@
 	return d
 }
 
-// closing reports whether the front will end before the request could.
+// closing reports whether the front may end before the request does.
 func (q *request) closing() bool {
-	at := q.front.stopAt.Load()
+	at, began := q.front.stopAt.Load(), q.front.stopBegan.Load()
 	if at == nil {
 		return false
 	}
-	n := plainStop
 	if q.route.Kind == plan.Stream {
-		n = streamStop
+		return time.Since(*began) > streamStop
 	}
-	return time.Until(*at) < n
+	return time.Until(*at) < plainStop
 }
 
 // take uses the workspace's allowance, and learns how long the caller has tried.
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -32,6 +32,11 @@
 	quietPause = 250 * time.Millisecond
 	// reportTime is how often the load is written to the log.
 	reportTime = time.Second
+	// youngBeats is the number of beats that a peer sends in its first seconds.
+	youngBeats = 20
+	// lookouts is how many fronts look at the platform often; the others hear from
+	// them what is new. Several, as some may be cut off.
+	lookouts = 4
 	// divideTime is how often slots are divided anew.
 	divideTime = 500 * time.Millisecond
 	// fetchPatience is how long a newer document may take to come from the
@@ -240,8 +245,8 @@
 	})
 }
 
-// Fronts implements Sink.
-func (f *Front) Fronts() int { return int(f.fronts.Load()) }
+// Lookout implements Sink.
+func (f *Front) Lookout() bool { return f.lookout.Load() }
 
 // runBeats tells peers what this front has in flight until ctx ends.
 func (f *Front) runBeats(ctx context.Context) {
@@ -273,6 +278,7 @@
 	s.budget.Share(all)
 	f.meter.peers.Update(float64(heard))
 	f.fronts.Store(int64(heard))
+	f.lookout.Store(s.peers.Before(now) < lookouts)
 	p := beatPause + time.Duration(all)*beatPauseEach
 	if now-s.lent >= p {
 		s.lent = now
@@ -346,8 +352,8 @@
 			Target: u.Target, Running: uint32(u.Running), PromptTokens: uint32(u.Prompt), Failing: u.Failing,
 		})
 	}
-	for h, u := range s.quota.Uses() {
-		m.Workspaces = append(m.Workspaces, &wire.WorkspaceUse{Workspace: h, Used: u})
+	for h, u := range s.quota.Uses(now) {
+		m.Workspaces = append(m.Workspaces, &wire.WorkspaceUse{Workspace: h, Used: u.Used, Level: u.Level})
 	}
 	for name, q := range s.lines {
 		m.Demands = append(m.Demands, &wire.ServiceDemand{Service: pool.Hash(name), PerSecond: q.want(now)})
@@ -384,9 +390,9 @@
 	s.pool.Hear(m.Peer, us)
 	ws := quota.Uses{}
 	for _, w := range m.Workspaces {
-		ws[w.Workspace] = w.Used
+		ws[w.Workspace] = quota.Use{Used: w.Used, Level: w.Level}
 	}
-	s.quota.Hear(now, m.Peer, m.Incarnation, ws)
+	s.quota.Hear(now, m.Peer, m.Incarnation, m.Sequence <= youngBeats, ws)
 	k := map[waitKey]int{}
 	for _, w := range m.Waits {
 		k[waitKey{w.Service, int(w.Rank)}] = int(w.Count)
--- a/io/front/turn.go
+++ b/io/front/turn.go
@@ -28,8 +28,6 @@
 	// pausePart of the time that a caller has left is the most that it is asked to
 	// stay away; callers heed no more than a third.
 	pausePart = 0.33
-	// unmeasured is the pause asked for when no rate has been measured.
-	unmeasured = time.Second
 )
 
 var (
@@ -81,12 +79,9 @@
 }
 
 // expect returns how long a request will wait for its turn.
-func (q *queue) expect(now time.Duration, t *line.Ticket[*waiter]) time.Duration {
-	v := q.line.Speed(now, t)
-	if v < 1 {
-		return unmeasured
-	}
-	return time.Duration(float64(q.line.Ahead(t)+1) / v * float64(time.Second))
+func (f *Front) expect(now time.Duration, s *state, q *queue, t *line.Ticket[*waiter]) time.Duration {
+	l := s.pool.Load(now, t.Value().service)
+	return q.line.Expect(now, t, float64(l.Slots)/float64(max(1, f.fronts.Load())))
 }
 
 // turn waits for a slot for at most the given time.
@@ -121,7 +116,7 @@
 		}
 		s.changed = true
 		return turn{
-			err: why, ahead: l.line.Ahead(wt.ticket), expected: l.expect(now, wt.ticket),
+			err: why, ahead: l.line.Ahead(wt.ticket), expected: q.front.expect(now, s, l, wt.ticket),
 			retry: q.pause(now, s, l, wt.ticket), waited: now - wt.arrived,
 		}
 	})
@@ -140,7 +135,7 @@
 	}
 	s.changed = true
 	n := l.line.Ahead(w.ticket)
-	e := l.expect(now, w.ticket)
+	e := f.expect(now, s, l, w.ticket)
 	if e <= patience || n == 0 {
 		return nil
 	}
@@ -156,7 +151,7 @@
 	if !q.deadline.IsZero() {
 		longest = min(longest, time.Duration(pausePart*float64(time.Until(q.deadline))))
 	}
-	e := max(leastPause, l.expect(now, t), longest/2)
+	e := max(leastPause, q.front.expect(now, s, l, t), longest/2)
 	return max(leastPause, min(longest, time.Duration(float64(e)*(1+s.random.Float64()))))
 }
 
