--- a/core/conf/front.go
+++ b/core/conf/front.go
@@ -55,7 +55,7 @@
 	for _, t := range []struct {
 		path string
 		ms   uint32
-	}{{"grace-ms", s.GraceMs}, {"retry-window-ms", s.RetryWindowMs}, {"drain-ms", s.DrainMs}} {
+	}{{"grace-ms", s.GraceMs}, {"retry-window-ms", s.RetryWindowMs}} {
 		if t.ms == 0 {
 			p.add(t.path, "expected a time above 0, in milliseconds")
 		}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -171,12 +171,6 @@
 	}
 }
 
-// Known reports whether a target is in the set and takes new work.
-func (p *Pool) Known(id string, born int64) bool {
-	t, ok := p.targets[id]
-	return ok && !t.Leaving && t.Born == born
-}
-
 // Load sums up what is believed of a service's targets.
 type Load struct {
 	// Targets take new work, and Usable ones are not in doubt.
@@ -220,17 +214,6 @@
 	return ts
 }
 
-// Size returns the number of targets of a service that take new work.
-func (p *Pool) Size(service string) int {
-	n := 0
-	for _, t := range p.services[service] {
-		if !t.Leaving {
-			n++
-		}
-	}
-	return n
-}
-
 // Free returns the number of unused slots of a service's usable targets.
 func (p *Pool) Free(now time.Duration, service string) int {
 	n := 0
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -194,8 +194,8 @@
 	if l := p.Load(0, "llm"); l.Own != 0 {
 		t.Errorf("%d requests in flight at a target that has just started", l.Own)
 	}
-	if p.Known("a", 0) || !p.Known("a", 7) {
-		t.Error("the earlier life counts as known")
+	if c, err := p.Choose(0, want(1)); err != nil || c.Born != 7 {
+		t.Errorf("got %v, %v", c, err)
 	}
 }
 
--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -221,17 +221,6 @@
 	return 0, false
 }
 
-// Drop closes the idle connections to an address.
-func (d *Dialer) Drop(address string) {
-	d.mu.Lock()
-	l := d.idle[address]
-	delete(d.idle, address)
-	d.mu.Unlock()
-	for _, c := range l {
-		c.Close()
-	}
-}
-
 // Run closes connections that have been idle too long until ctx ends.
 func (d *Dialer) Run(ctx context.Context) {
 	t := time.NewTicker(sweepTime)
@@ -311,14 +300,6 @@
 	}
 }
 
-// Deadline sets when reads and writes give up.
-func (c *Conn) Deadline(t time.Time) error {
-	if err := c.net.SetDeadline(t); err != nil {
-		return fmt.Errorf("set deadline: %w", err)
-	}
-	return nil
-}
-
 // Close closes the connection, which the target takes as a cancellation. An error
 // can't be acted on: the connection is gone either way.
 func (c *Conn) Close() { _ = c.net.Close() }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -28,6 +28,8 @@
 
 	cryptorand "crypto/rand"
 
+	"golang.org/x/net/netutil"
+
 	"kingcupstand/core/plan"
 	"kingcupstand/io/beat"
 	"kingcupstand/io/ctrl"
@@ -147,8 +149,11 @@
 	}
 }
 
-// Bounds of connections from callers. The plan's own limits are checked for each
-// request; these only keep strangers from holding memory.
+// keptDescriptors are left for targets, peers, the platform and files.
+const keptDescriptors = 600
+
+// Bounds of connections from callers. The plan's limit of bodies is checked for
+// each request; these only keep strangers from holding memory.
 const (
 	maxHeader     = 64 << 10
 	headerTimeout = 10 * time.Second
@@ -194,6 +199,9 @@
 			}
 			return nil, fmt.Errorf("listen: %w", err)
 		}
+		if d := int(f.settings.Descriptors); s == callers && d > keptDescriptors {
+			n = netutil.LimitListener(n, d-keptDescriptors)
+		}
 		ls = append(ls, &listener{net: n, server: s})
 	}
 	return ls, nil
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -31,6 +31,8 @@
 	revision tally.Gauge
 	targets  tally.Gauge
 	peers    tally.Gauge
+	opened   tally.Gauge
+	reused   tally.Gauge
 	lost     tally.Counter
 	mu       sync.Mutex
 	kinds    map[string]*kind
@@ -48,6 +50,8 @@
 		revision: t.Scope.Gauge("plan_revision"),
 		targets:  t.Scope.Gauge("targets"),
 		peers:    t.Scope.Gauge("peers_heard"),
+		opened:   t.Scope.Gauge("connections_opened"),
+		reused:   t.Scope.Gauge("connections_reused"),
 		lost:     t.Scope.Counter("platform_losses"),
 		kinds:    map[string]*kind{},
 	}
