--- a/core/list/list.go
+++ b/core/list/list.go
@@ -40,6 +40,13 @@
 	missing bool
 	// until is when a missing target is given up.
 	until time.Duration
+	// firm is true if a peer said so, which holds while the platform is lost here.
+	firm bool
+}
+
+// over reports whether a missing target is to be given up by now.
+func (l *List) over(e *entry, now time.Duration) bool {
+	return e.missing && (e.firm || !l.lost) && now >= e.until
 }
 
 // List is the belief. It is not safe for concurrent use.
@@ -73,7 +80,7 @@
 		l.lost = false
 		l.settled = now + Settle
 		for _, e := range l.entries {
-			if e.missing {
+			if e.missing && !e.firm {
 				e.until = l.settled
 			}
 		}
@@ -100,6 +107,10 @@
 	l.entries = map[string]*entry{}
 	for _, r := range d.Replicas {
 		l.put(r)
+		if r.VanishedMs > 0 {
+			e := l.entries[r.Id]
+			e.missing, e.firm, e.until = true, true, now+time.Duration(r.VanishedMs)*time.Millisecond
+		}
 	}
 	l.revision = d.Revision
 	return true
@@ -159,7 +170,7 @@
 // Due returns when Replicas changes by time alone, if it does.
 func (l *List) Due() (at time.Duration, ok bool) {
 	for _, e := range l.entries {
-		if e.missing && !l.lost && (!ok || e.until < at) {
+		if e.missing && (e.firm || !l.lost) && (!ok || e.until < at) {
 			at, ok = e.until, true
 		}
 	}
@@ -170,7 +181,7 @@
 func (l *List) Replicas(now time.Duration) []*spec.Replica {
 	var rs []*spec.Replica
 	for id, e := range l.entries {
-		if e.missing && !l.lost && now >= e.until {
+		if l.over(e, now) {
 			delete(l.entries, id)
 			continue
 		}
@@ -180,11 +191,20 @@
 	return rs
 }
 
-// Directory returns the list for a peer.
+// Directory returns the list for a peer, with what has vanished marked so.
 func (l *List) Directory(now time.Duration) *spec.Directory {
 	d := &spec.Directory{Revision: l.revision}
 	for _, r := range l.Replicas(now) {
-		d.Replicas = append(d.Replicas, proto.CloneOf(r))
+		c := proto.CloneOf(r)
+		c.VanishedMs = 0
+		if e := l.entries[r.Id]; e.missing {
+			left := e.until - now
+			if l.lost {
+				left = Settle
+			}
+			c.VanishedMs = uint32(max(1, left.Milliseconds()))
+		}
+		d.Replicas = append(d.Replicas, c)
 	}
 	return d
 }
--- a/core/list/list_test.go
+++ b/core/list/list_test.go
@@ -85,3 +85,22 @@
 	}
 	expect(t, l, time.Second, "b", "c")
 }
+
+// The pattern is a series of changes in which a front learns the list from a peer
+// that still holds a target which has vanished: the front gives it up when the peer
+// does, as nobody will tell it of the removal again.
+func TestPeersListTellsWhatHasVanished(t *testing.T) {
+	a, b, cut := list.New(), list.New(), list.New()
+	cut.Lost()
+	a.Whole(0, directory(1, "x", "y"))
+	a.Gone(time.Second, 2, "y")
+	a.Put(time.Second, 3, &spec.Replica{Id: "z"})
+	now := time.Second + list.Hold/2
+	for _, l := range []*list.List{b, cut} {
+		if !l.Hear(now, 0, a.Directory(now)) {
+			t.Fatal("the list was not taken")
+		}
+		expect(t, l, now, "x", "y", "z")
+		expect(t, l, time.Second+list.Hold+time.Millisecond, "x", "z")
+	}
+}
