--- a/core/list/list.go
+++ b/core/list/list.go
@@ -74,14 +74,17 @@
 // Lost notes that the platform doesn't answer.
 func (l *List) Lost() { l.lost = true }
 
-// found notes that the platform has answered.
+// found notes that the platform has answered. If a peer's list was confirmed just
+// before, the outage was over already.
 func (l *List) found(now time.Duration) {
 	if l.lost {
 		l.lost = false
-		l.settled = now + Settle
+		if l.Age(now) > Hold {
+			l.settled = now + Settle
+		}
 		for _, e := range l.entries {
 			if e.missing && !e.firm {
-				e.until = l.settled
+				e.until = max(now, l.settled)
 			}
 		}
 	}
--- a/core/list/list_test.go
+++ b/core/list/list_test.go
@@ -115,3 +115,16 @@
 	l.Gone(back, 2, "a")
 	expect(t, l, back+1900*time.Millisecond)
 }
+
+// A front whose own watch was cut hears from peers that the platform is back. When
+// its own calls succeed again later, the outage is long over: what vanishes then has
+// left, and is not taken for lapsed.
+func TestOutageEndsWhenAPeerSaysSo(t *testing.T) {
+	l := list.New()
+	l.Whole(0, directory(1, "a", "b"))
+	l.Lost()
+	now := 10 * time.Second
+	l.Hear(now-100*time.Millisecond, 0, directory(2, "a", "b"))
+	l.Whole(now, directory(3, "a"))
+	expect(t, l, now+list.Hold, "a")
+}
--- a/io/front/beats.go
+++ b/io/front/beats.go
@@ -30,7 +30,7 @@
 	youngBeats = 20
 	// lookouts is how many fronts look at the platform often; the others hear from
 	// them what is new. Several, as some may be cut off.
-	lookouts = 4
+	lookouts = 8
 	// divideTime is how often slots are divided anew.
 	divideTime = 500 * time.Millisecond
 	// fetchPatience is how long a newer document may take to come from the
