A front asks any newer peer for documents, not always the first by address

Cause: by reading. peers.Newer returned the lowest address of those that hold something newer. Where that one's datagrams get through and its TCP port doesn't answer, each try of 700 ms goes to it, and the documents never come; where it is small, all fronts fetch from it at once. Ruled out: asking several at a time (costs a fetch each, no gain where one answers). Before: TestNewerDocumentsComeFromDifferentPeers red with the old rule, 30 of 30 tries at one peer. After: green, each of three newer peers is asked, the old one is not.

--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -190,13 +190,19 @@
 	return as[:min(len(as), introduced)]
 }
 
-// Newer returns a peer that is heard and holds a newer plan or directory.
-func (p *Peers) Newer(now time.Duration, plan, directory uint64) (string, bool) {
-	best, found := "", false
+// Newer returns a peer that is heard and holds a newer plan or directory. Any of
+// them may be picked: one that can't be reached must not be asked each time, and a
+// small one not by all fronts at once.
+func (p *Peers) Newer(now time.Duration, plan, directory uint64, r *rand.Rand) (string, bool) {
+	var as []string
 	for a, e := range p.peers {
-		if p.Heard(now, a) && (e.beat.Plan > plan || e.beat.Directory > directory) && (!found || a < best) {
-			best, found = a, true
+		if p.Heard(now, a) && (e.beat.Plan > plan || e.beat.Directory > directory) {
+			as = append(as, a)
 		}
 	}
-	return best, found
+	if len(as) == 0 {
+		return "", false
+	}
+	sort.Strings(as)
+	return as[r.IntN(len(as))], true
 }
--- a/io/front/beats.go
+++ b/io/front/beats.go
@@ -205,7 +205,7 @@
 // catchUp asks a peer for documents that are newer than this front's, if they
 // don't come from the platform in time.
 func (f *Front) catchUp(now time.Duration, s *state) {
-	a, ok := s.peers.Newer(now, s.plan.Revision(), s.list.Revision())
+	a, ok := s.peers.Newer(now, s.plan.Revision(), s.list.Revision(), s.random)
 	if !ok {
 		s.newer = 0
 		return
