Decisions about turns move from io/front to core/desk

Cause: who waits, who is refused, when to come back and which slots are a front's own were decided inside io/front, so that no load pattern could be played against them without sockets and clocks. Change: core/desk holds the lines, the peers' lines and the division; io/front keeps what is concurrent. No rule changed. Tests: a rush on full targets is refused at once, a peer's higher rank goes first, leaving, patience.

--- /dev/null
+++ b/core/desk/desk_test.go
@@ -0,0 +1,108 @@
+package desk_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kingcupstand/core/desk"
+	"kingcupstand/core/pool"
+	"kingcupstand/internal/prop"
+)
+
+// newDesk returns a desk before one engine.
+func newDesk(slots int) (*desk.Desk[int], *pool.Pool) {
+	r := rand.New(rand.NewPCG(1, 2))
+	p := pool.New("", r)
+	p.Apply([]pool.Target{{ID: "t", Service: "s", Slots: slots, Engine: true}})
+	return desk.New[int](p, r), p
+}
+
+func ask(rank int, patience, left time.Duration) desk.Ask {
+	return desk.Ask{Want: pool.Want{Service: "s"}, Rank: rank, Patience: patience, Left: left}
+}
+
+// The pattern is a rush on full targets: who can't be served in time is told so at
+// once, with a time to come back that it has left.
+func TestRushOnFullTargetsIsRefusedAtOnce(t *testing.T) {
+	d, _ := newDesk(1)
+	d.Join(0, ask(0, time.Second, 10*time.Second), 0)
+	if _, ok := d.Next(0, "s"); !ok {
+		t.Fatal("no turn at an idle target")
+	}
+	d.Held("s", 2*time.Second) // a slot comes free each two seconds
+	waits := 0
+	for i := range 20 {
+		k := d.Join(0, ask(0, 400*time.Millisecond, 9*time.Second), i)
+		f, refused := d.Judge(0, k)
+		if !refused {
+			waits++
+			continue
+		}
+		if f.Retry < 300*time.Millisecond || f.Retry > 3*time.Second || f.Expected <= 400*time.Millisecond {
+			t.Errorf("refusal %+v", f)
+		}
+	}
+	if waits != 1 {
+		t.Errorf("%d wait for the next slot, want 1", waits)
+	}
+}
+
+// A slot that is free here goes to a higher rank that waits at a peer.
+func TestPeersHigherRankGoesFirst(t *testing.T) {
+	d, p := newDesk(3)
+	p.Begin(0, "t", 0) // two slots are left
+	h := pool.Hash("s")
+	d.Hear("peer", desk.Said{Waits: map[desk.Wait]int{{Service: h, Rank: 0}: 2}})
+	d.Join(0, ask(1, time.Second, 10*time.Second), 1)
+	if _, ok := d.Next(0, "s"); ok {
+		t.Error("a lower rank goes before two of a peer's")
+	}
+	d.Join(0, ask(0, time.Second, 10*time.Second), 0)
+	if u, ok := d.Next(0, "s"); !ok || u.Ticket.Value != 0 {
+		t.Error("a request of the same rank waits for the peer's")
+	}
+	d.Forget("peer")
+	if _, ok := d.Next(0, "s"); !ok {
+		t.Error("no turn after the peer is gone")
+	}
+}
+
+// Who has had its turn can't leave any more, and who left gets none.
+func TestLeave(t *testing.T) {
+	d, p := newDesk(1)
+	a := d.Join(0, ask(0, time.Second, 10*time.Second), 1)
+	if _, ok := d.Next(0, "s"); !ok {
+		t.Fatal("no turn")
+	}
+	if _, left := d.Leave(0, a); left {
+		t.Error("left after its turn")
+	}
+	b := d.Join(0, ask(0, time.Second, 10*time.Second), 2)
+	if f, left := d.Leave(300*time.Millisecond, b); !left || f.Waited != 300*time.Millisecond {
+		t.Errorf("leave: %+v, %v", f, left)
+	}
+	p.End(0, "t", 0, pool.Good)
+	if _, ok := d.Next(time.Second, "s"); ok {
+		t.Error("a turn for who has left")
+	}
+}
+
+// A wait never takes more of the goal than leaves an answer time, and a late one
+// nearly nothing of what the caller has left.
+func TestPatience(t *testing.T) {
+	prop.Check(t, func(t *rapid.T) {
+		g := time.Duration(rapid.Int64Range(1, int64(10*time.Second)).Draw(t, "goal"))
+		u := time.Duration(rapid.Int64Range(0, int64(20*time.Second)).Draw(t, "used"))
+		l := time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "left"))
+		w, late := desk.Patience(g, u, l)
+		if due := time.Duration(0.85 * float64(g)); late != (u >= due) {
+			t.Errorf("late is %v", late)
+		}
+		if w < 0 || (late && w > l/100) || (!late && w > g) {
+			t.Errorf("wait %v, late %v", w, late)
+		}
+	})
+}
--- a/io/front/beats.go
+++ b/io/front/beats.go
@@ -6,10 +6,10 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"kingcupstand/core/desk"
 	"kingcupstand/core/peers"
 	"kingcupstand/core/pool"
 	"kingcupstand/core/quota"
-	"kingcupstand/core/share"
 	"kingcupstand/io/ctrl"
 	"kingcupstand/schema/spec"
 	"kingcupstand/schema/wire"
@@ -58,8 +58,7 @@
 		if s.heard[a] {
 			delete(s.heard, a)
 			s.pool.Forget(a)
-			delete(s.waits, a)
-			delete(s.demands, a)
+			s.desk.Forget(a)
 			f.telem.Log.Info("dependency lost", "dependency", "peer", "peer", a)
 		}
 	}
@@ -67,7 +66,7 @@
 	s.quota.Reachable(now, heard, all)
 	s.budget.Share(all)
 	f.meter.peers.Update(float64(heard))
-	f.fronts.Store(int64(heard))
+	s.desk.Reachable(heard)
 	f.lookout.Store(s.peers.Before(now) < lookouts)
 	p := beatPause + time.Duration(all)*beatPauseEach
 	if now-s.lent >= p {
@@ -77,9 +76,7 @@
 	if now-s.divided >= divideTime {
 		f.divide(now, s)
 	}
-	for name := range s.lines {
-		f.pump(now, s, name)
-	}
+	f.pumpAll(now, s)
 	f.catchUp(now, s)
 	if now-s.told >= reportTime {
 		f.report(now, s, heard, all)
@@ -95,10 +92,10 @@
 	opened, reused := f.dialer.Counts()
 	f.meter.opened.Update(float64(opened))
 	f.meter.reused.Update(float64(reused))
-	for name, q := range s.lines {
+	for _, name := range s.desk.Services() {
 		l := s.pool.Load(now, name)
 		f.telem.Log.Info("load", "service", name, "targets", l.Targets, "usable", l.Usable, "slots", l.Slots, "running", l.Running,
-			"own", l.Own, "own-slots", l.Mine, "waiting", q.line.Len(), "demand", int(q.want(now)),
+			"own", l.Own, "own-slots", l.Mine, "waiting", s.desk.Waiting(name), "demand", int(s.desk.Demand(now, name)),
 			"retries-left", int(s.budget.Left(now, name)), "fronts-heard", heard, "fronts", all,
 			"plan", s.plan.Revision(), "list-age-ms", s.list.Age(now).Milliseconds())
 	}
@@ -107,24 +104,7 @@
 // divide computes which slots belong to this front.
 func (f *Front) divide(now time.Duration, s *state) {
 	s.divided = now
-	mine := map[string]int{}
-	for name, q := range s.lines {
-		if v := s.plan.Service(name); v == nil || !v.Engine {
-			continue
-		}
-		fs := []share.Front{{Name: f.settings.Peer, Weight: q.want(now)}}
-		for a, d := range s.demands {
-			fs = append(fs, share.Front{Name: a, Weight: d[pool.Hash(name)]})
-		}
-		var ts []share.Target
-		for _, t := range s.pool.Targets(name) {
-			ts = append(ts, share.Target{ID: t.ID, Slots: t.Slots})
-		}
-		for id, n := range share.Mine(f.settings.Peer, fs, ts) {
-			mine[id] = n
-		}
-	}
-	s.pool.Own(mine)
+	s.desk.Divide(now, f.settings.Peer)
 }
 
 func (f *Front) sendBeat(now time.Duration, s *state) {
@@ -148,11 +128,12 @@
 	for h, u := range s.quota.Uses(now) {
 		m.Workspaces = append(m.Workspaces, &wire.WorkspaceUse{Workspace: h, Used: u.Used, Level: u.Level})
 	}
-	for name, q := range s.lines {
-		m.Demands = append(m.Demands, &wire.ServiceDemand{Service: pool.Hash(name), PerSecond: q.want(now)})
-		for r, n := range q.line.Ranks() {
-			m.Waits = append(m.Waits, &wire.RankWait{Service: pool.Hash(name), Rank: uint32(r), Count: uint32(n)})
-		}
+	d := s.desk.Say(now)
+	for h, v := range d.Demands {
+		m.Demands = append(m.Demands, &wire.ServiceDemand{Service: h, PerSecond: v})
+	}
+	for k, n := range d.Waits {
+		m.Waits = append(m.Waits, &wire.RankWait{Service: k.Service, Rank: uint32(k.Rank), Count: uint32(n)})
 	}
 	f.beats.Send(m, s.peers.Audience(s.random))
 }
@@ -186,19 +167,15 @@
 		ws[w.Workspace] = quota.Use{Used: w.Used, Level: w.Level}
 	}
 	s.quota.Hear(now, m.Peer, m.Incarnation, m.Sequence <= youngBeats, ws)
-	k := map[waitKey]int{}
+	d := desk.Said{Waits: map[desk.Wait]int{}, Demands: map[uint32]float64{}}
 	for _, w := range m.Waits {
-		k[waitKey{w.Service, int(w.Rank)}] = int(w.Count)
+		d.Waits[desk.Wait{Service: w.Service, Rank: int(w.Rank)}] = int(w.Count)
 	}
-	s.waits[m.Peer] = k
-	d := map[uint32]float64{}
 	for _, v := range m.Demands {
-		d[v.Service] = v.PerSecond
-	}
-	s.demands[m.Peer] = d
-	for name := range s.lines {
-		f.pump(now, s, name)
+		d.Demands[v.Service] = v.PerSecond
 	}
+	s.desk.Hear(m.Peer, d)
+	f.pumpAll(now, s)
 	f.catchUp(now, s)
 }
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -68,9 +68,7 @@
 	stopAt   atomic.Pointer[time.Time]
 	inflight atomic.Int64
 	fetching atomic.Bool
-	// fronts is how many are heard, this one included.
-	fronts  atomic.Int64
-	lookout atomic.Bool
+	lookout  atomic.Bool
 	// stopBegan is when the stop began.
 	stopBegan atomic.Pointer[time.Time]
 }
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -13,6 +13,7 @@
 
 	"go.opentelemetry.io/otel/trace"
 
+	"kingcupstand/core/desk"
 	"kingcupstand/core/plan"
 	"kingcupstand/core/pool"
 	"kingcupstand/io/ctrl"
@@ -34,9 +35,6 @@
 	streamStop = 2500 * time.Millisecond
 	// plainStop is the time that a stopping front wants for other new requests.
 	plainStop = 400 * time.Millisecond
-	// latePart of the time that a caller whose goal has passed will wait is spent
-	// in line; most of it is left for the answer.
-	latePart = 1.0 / 150
 	// defaultBody bounds bodies while the plan sets no limit, in bytes.
 	defaultBody = 4 << 20
 	// sends is the most connections that are tried for one request, whether they
@@ -277,8 +275,8 @@
 		}, w)
 		q.note.waited += t.waited
 		if t.err != nil {
-			q.note.ahead, q.note.expected = t.ahead, t.expected
-			q.end(ctx, t.err, t.retry)
+			q.note.ahead, q.note.expected = t.refusal.Ahead, t.refusal.Expected
+			q.end(ctx, t.err, t.refusal.Retry)
 			return
 		}
 		if ok, s, reason := q.recheck(); !ok {
@@ -302,9 +300,7 @@
 	}
 }
 
-// wait returns how long the request may wait for its turn: until its answer could
-// not begin within the goal any more, or for a part of what is left to a caller
-// whose goal has passed.
+// wait returns how long the request may wait for its turn.
 func (q *request) wait() time.Duration {
 	if q.out != nil {
 		// A stream that broke off waits no longer than the caller will.
@@ -314,12 +310,9 @@
 	if g == 0 {
 		g = defaultGoal
 	}
-	w := time.Duration(goalPart*float64(g)) - q.spent - time.Since(q.arrived) - q.expect
-	q.late = w <= 0
-	if q.late {
-		return max(time.Duration(latePart*float64(time.Until(q.deadline))), 0)
-	}
-	return max(w, time.Duration(leastPart*float64(g)))
+	var w time.Duration
+	w, q.late = desk.Patience(g, q.spent+time.Since(q.arrived)+q.expect, time.Until(q.deadline))
+	return w
 }
 
 // release gives back a turn that is not used.
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -61,7 +61,7 @@
 	q.shunned = append(q.shunned, c.ID)
 	q.front.loop.Post(func(now time.Duration, s *state) {
 		s.pool.End(now, c.ID, e.prompt, e.outcome)
-		s.queue(q.service).line.Held(time.Since(e.begun))
+		s.desk.Held(q.service, time.Since(e.begun))
 		s.changed = true
 		q.front.pump(now, s, q.service)
 	})
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"kingcupstand/core/budg"
-	"kingcupstand/core/line"
+	"kingcupstand/core/desk"
 	"kingcupstand/core/list"
 	"kingcupstand/core/past"
 	"kingcupstand/core/peers"
@@ -18,19 +18,16 @@
 
 // state is what the front's control goroutine owns.
 type state struct {
-	plan   *plan.Plan
-	pool   *pool.Pool
-	list   *list.List
-	quota  *quota.Quota
-	budget *budg.Budget
-	peers  *peers.Peers
-	lines  map[string]*queue
-	random *rand.Rand
-	lost   bool
-	past   *past.Past
-	waits  map[string]map[waitKey]int
-	// demands is each peer's demand, by service.
-	demands map[string]map[uint32]float64
+	plan    *plan.Plan
+	pool    *pool.Pool
+	list    *list.List
+	quota   *quota.Quota
+	budget  *budg.Budget
+	peers   *peers.Peers
+	desk    *desk.Desk[*waiter]
+	random  *rand.Rand
+	lost    bool
+	past    *past.Past
 	divided time.Duration
 	lent    time.Duration
 	// told is when the load was last reported.
@@ -45,24 +42,12 @@
 	due     time.Duration
 }
 
-// waitKey names what a peer's waiting requests wait for.
-type waitKey struct {
-	service uint32
-	rank    int
-}
-
-// queue is the line before one service.
-type queue struct {
-	line *line.Line[*waiter]
-	// demand is how many requests a second have lately wanted a turn.
-	demand   float64
-	demandAt time.Duration
-}
-
 func newState(s *spec.Front, r *rand.Rand) *state {
+	p := pool.New(s.DataCentre, r)
 	return &state{
 		plan:  plan.Empty(),
-		pool:  pool.New(s.DataCentre, r),
+		pool:  p,
+		desk:  desk.New[*waiter](p, r),
 		list:  list.New(),
 		quota: quota.New(pool.Hash),
 		budget: budg.New(budg.Terms{
@@ -70,13 +55,10 @@
 			Slack:  s.RetrySlack,
 			Window: time.Duration(s.RetryWindowMs) * time.Millisecond,
 		}),
-		peers:   peers.New(s.Peer, s.Seeds),
-		lines:   map[string]*queue{},
-		random:  r,
-		past:    past.New(),
-		demands: map[string]map[uint32]float64{},
-		waits:   map[string]map[waitKey]int{},
-		heard:   map[string]bool{},
+		peers:  peers.New(s.Peer, s.Seeds),
+		random: r,
+		past:   past.New(),
+		heard:  map[string]bool{},
 	}
 }
 
@@ -131,9 +113,7 @@
 	s.pool.Apply(ts)
 	f.divide(now, s)
 	f.meter.targets.Update(float64(len(ts)))
-	for name := range s.lines {
-		f.pump(now, s, name)
-	}
+	f.pumpAll(now, s)
 	if at, ok := s.list.Due(); ok && at != s.due {
 		s.due = at
 		time.AfterFunc(at-now+time.Millisecond, f.reapply)
