Lanes share turns by ratio, not by a fixed difference

Cause: the most urgent lane was kept ahead of the next by 0.4 of its requests. Change: a lane's served part is weighed: the second lane gets 0.3 of the first one's part at least, each further one 0.85 of the one before it. Before: TestOverloadByAnUrgentKindStarvesNobody, now at five depths, red with the old rule from three turns in ten on (second kind 0.012 of its requests and less). After: green; the check of the lead is on the ratio now, within the same 0.1.

--- a/core/line/line.go
+++ b/core/line/line.go
@@ -8,10 +8,11 @@
 //	l.Leave(t)
 //
 // The lowest rank goes first. Requests of one rank wait in lanes by their route's
-// order. The lane that has got the smallest share of its requests served goes
-// first, where a more urgent lane is kept ahead of the next by Margin: under
-// overload no kind starves, and a more urgent kind is never served less often than
-// one below it. Requests that can still be on time go before those that can't.
+// order. The lane goes first that has got the smallest part of its requests served,
+// weighed so that the most urgent lane gets all it asks for while the others get a
+// good part of theirs. However deep an overload is, no kind starves, and a more
+// urgent kind is not served less often than one below it. Requests that can still
+// be on time go before those that can't.
 package line
 
 import (
@@ -21,11 +22,15 @@
 	"kingcupstand/core/heap"
 )
 
-// Margin is the part of its requests by which the most urgent lane is served more
-// often than the next one; each further step is half as large. The steps must
-// cover the error of shares that are measured over a few seconds, of about a
-// twentieth.
-const Margin = 0.4
+// Parts of their requests that lanes get served, against those of other lanes.
+const (
+	// Second is the part that the second lane gets at least, of the first one's. A
+	// kind that is served a quarter as often as all counts as starved.
+	Second = 0.3
+	// Next is the same for each further lane, of the one before it: close to 1, but
+	// for the error of parts that are measured over a few seconds.
+	Next = 0.85
+)
 
 // memory is the time over which shares are measured: bursts last a few seconds.
 const memory = 4 * time.Second
@@ -159,9 +164,13 @@
 	return a.key.order < b.key.order
 }
 
-// lead returns the lane's served share, less what its urgency entitles it to.
+// lead returns the part of the lane's requests that was served, weighed by urgency.
 func (a *lane[T]) lead(now time.Duration) float64 {
-	return a.turned.get(now)/max(1, a.asked.get(now)) + 2*Margin*(1-math.Exp2(-float64(a.key.order)))
+	w := 1.0
+	if a.key.order > 0 {
+		w = Second * math.Pow(Next, float64(a.key.order-1))
+	}
+	return a.turned.get(now) / max(1, a.asked.get(now)) / w
 }
 
 // First returns the request whose turn it is.
--- a/core/line/line_test.go
+++ b/core/line/line_test.go
@@ -11,38 +11,42 @@
 )
 
 // The pattern is a long overload by an urgent kind: 60 urgent and 40 other requests
-// a second want 50 turns a second. The urgent kind is served more often, by about
-// Margin, and the other one doesn't starve.
+// a second want fewer turns. The urgent kind is served more often, in the measure
+// that Second gives, and however few turns there are, the other one isn't starved:
+// it gets more than a quarter of what all get.
 func TestOverloadByAnUrgentKindStarvesNobody(t *testing.T) {
-	l := line.New[int]()
-	asked, served := [2]int{}, [2]int{}
 	const second = 100 // steps of 10 ms
-	waiting := []*line.Ticket[int]{}
-	for i := range 60 * second {
-		now := time.Duration(i) * 10 * time.Millisecond
-		order := 1
-		if i%5 < 3 {
-			order = 0
+	for _, every := range []int{2, 3, 4, 6, 10} {
+		l := line.New[int]()
+		asked, served := [2]int{}, [2]int{}
+		waiting := []*line.Ticket[int]{}
+		for i := range 60 * second {
+			now := time.Duration(i) * 10 * time.Millisecond
+			order := 1
+			if i%5 < 3 {
+				order = 0
+			}
+			asked[order]++
+			waiting = append(waiting, l.Join(now, line.Place{Order: order, Arrived: now}, order))
+			if len(waiting) > 30 { // nobody waits longer than 300 ms
+				l.Leave(waiting[0])
+				waiting = waiting[1:]
+			}
+			if i%every == 0 {
+				if v, ok := l.Next(now); ok {
+					served[v]++
+				}
+			}
 		}
-		asked[order]++
-		waiting = append(waiting, l.Join(now, line.Place{Order: order, Arrived: now}, order))
-		if len(waiting) > 30 { // nobody waits longer than 300 ms
-			l.Leave(waiting[0])
-			waiting = waiting[1:]
+		a, b := float64(served[0])/float64(asked[0]), float64(served[1])/float64(asked[1])
+		all := float64(served[0]+served[1]) / float64(asked[0]+asked[1])
+		if a < b || b < all/4 {
+			t.Errorf("a turn each %d0 ms: served %.3f of the urgent kind and %.3f of the other", every, a, b)
 		}
-		if i%2 == 0 {
-			if v, ok := l.Next(now); ok {
-				served[v]++
-			}
+		if p := b / a; p < line.Second-0.1 || p > line.Second+0.1 {
+			t.Errorf("a turn each %d0 ms: the other kind got %.2f of the urgent one's part", every, p)
 		}
 	}
-	a, b := float64(served[0])/float64(asked[0]), float64(served[1])/float64(asked[1])
-	if a < b || b < 0.1 {
-		t.Errorf("served %.2f of the urgent kind and %.2f of the other", a, b)
-	}
-	if lead := a - b; lead < line.Margin-0.1 || lead > line.Margin+0.1 {
-		t.Errorf("lead of the urgent kind is %.2f", lead)
-	}
 }
 
 // No request of a tier gets a turn while one of a higher tier waits.
