A late caller lets those go first that can be on time elsewhere

Cause: a front gives a free slot to a late caller if nobody else waits there, while other fronts refuse requests that could still be on time. Change: fronts tell apart in their beats how many of those that wait can be on time, and a late one yields to a peer's of its rank as a lower rank does. Test: TestLateCallersLetPeersOnTimeOnesGoFirst.

--- a/core/desk/desk.go
+++ b/core/desk/desk.go
@@ -12,8 +12,9 @@
 //	d.Hear("192.0.2.7:7600", said)
 //
 // A request whose turn is not expected within its patience is refused at once, and
-// told when to come back. All fronts send to all targets; a front holds lower ranks
-// back while peers have higher ones waiting, and knows which slots are its own.
+// told when to come back. All fronts send to all targets, as if one line stood
+// before them: a front holds a request back while peers have others waiting whose
+// turn comes before it, and knows which slots are its own.
 package desk
 
 import (
@@ -170,7 +171,7 @@
 func (d *Desk[T]) Next(now time.Duration, service string) (Turn[T], bool) {
 	l := d.queue(service).line
 	p, t, ok := l.First(now)
-	if !ok || !d.may(now, service, p.Rank) {
+	if !ok || !d.may(now, service, line.Claim{Rank: p.Rank, Late: p.Late}) {
 		return Turn[T]{}, false
 	}
 	c, err := d.pool.Choose(now, t.ask.Want)
@@ -182,14 +183,15 @@
 	return Turn[T]{Ticket: t, Choice: c, Waited: now - t.joined}, true
 }
 
-// may reports whether a free slot is left for a rank after those that wait at
-// peers with a higher one.
-func (d *Desk[T]) may(now time.Duration, service string, rank int) bool {
+// may reports whether a free slot is left for a request after those that wait at
+// peers and come before it: who is of a higher rank, or can still be on time where
+// this one can't.
+func (d *Desk[T]) may(now time.Duration, service string, c line.Claim) bool {
 	h, n := pool.Hash(service), 0
 	for _, s := range d.peers {
-		for w, c := range s.Waits {
-			if w.Service == h && w.Rank < rank {
-				n += c
+		for w, k := range s.Waits {
+			if w.Service == h && w.Claim.Before(c) {
+				n += k
 			}
 		}
 	}
@@ -203,7 +205,7 @@
 type Wait struct {
 	// Service is the hash of its name.
 	Service uint32
-	Rank    int
+	Claim   line.Claim
 }
 
 // Said is what fronts tell each other about their lines.
@@ -220,8 +222,8 @@
 	for name, q := range d.queues {
 		h := pool.Hash(name)
 		s.Demands[h] = q.want(now)
-		for r, n := range q.line.Ranks() {
-			s.Waits[Wait{h, r}] = n
+		for c, n := range q.line.Claims() {
+			s.Waits[Wait{h, c}] = n
 		}
 	}
 	return s
--- a/core/desk/desk_test.go
+++ b/core/desk/desk_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"kingcupstand/core/desk"
+	"kingcupstand/core/line"
 	"kingcupstand/core/pool"
 	"kingcupstand/internal/prop"
 )
@@ -55,7 +56,7 @@
 	d, p := newDesk(3)
 	p.Begin(0, "t", 0) // two slots are left
 	h := pool.Hash("s")
-	d.Hear("peer", desk.Said{Waits: map[desk.Wait]int{{Service: h, Rank: 0}: 2}})
+	d.Hear("peer", desk.Said{Waits: map[desk.Wait]int{{Service: h}: 2}})
 	d.Join(0, ask(1, time.Second, 10*time.Second), 1)
 	if _, ok := d.Next(0, "s"); ok {
 		t.Error("a lower rank goes before two of a peer's")
@@ -70,6 +71,30 @@
 	}
 }
 
+// The pattern is callers that come back late while others wait elsewhere: a late
+// answer is worth little, so the slot goes to who can still be on time.
+func TestLateCallersLetPeersOnTimeOnesGoFirst(t *testing.T) {
+	d, p := newDesk(3)
+	p.Begin(0, "t", 0) // two slots are left
+	h := pool.Hash("s")
+	d.Hear("peer", desk.Said{Waits: map[desk.Wait]int{{Service: h}: 1, {Service: h, Claim: line.Claim{Late: true}}: 9}})
+	for i := range 2 {
+		a := ask(0, time.Second, 10*time.Second)
+		a.Late = true
+		d.Join(0, a, i)
+	}
+	if _, ok := d.Next(0, "s"); !ok {
+		t.Error("no turn though a slot is left after the peer's")
+	}
+	if _, ok := d.Next(0, "s"); ok {
+		t.Error("a late caller goes before a peer's that can be on time")
+	}
+	d.Join(0, ask(0, time.Second, 10*time.Second), 7)
+	if u, ok := d.Next(0, "s"); !ok || u.Ticket.Value != 7 {
+		t.Error("who can be on time waits for a peer's of its kind")
+	}
+}
+
 // Who has had its turn can't leave any more, and who left gets none.
 func TestLeave(t *testing.T) {
 	d, p := newDesk(1)
--- a/core/line/line.go
+++ b/core/line/line.go
@@ -227,13 +227,22 @@
 	return e
 }
 
-// Ranks counts the waiting requests by rank.
-func (l *Line[T]) Ranks() map[int]int {
-	m := map[int]int{}
+// Claim is what a request's turn follows from, beside its route and arrival.
+type Claim struct {
+	Rank int
+	Late bool
+}
+
+// Before reports whether c's turn comes before o's.
+func (c Claim) Before(o Claim) bool {
+	return c.Rank < o.Rank || (c.Rank == o.Rank && !c.Late && o.Late)
+}
+
+// Claims counts the waiting requests by their claims.
+func (l *Line[T]) Claims() map[Claim]int {
+	m := map[Claim]int{}
 	for k, a := range l.lanes {
-		if n := a.heap.Len(); n > 0 {
-			m[k.rank] += n
-		}
+		a.heap.Each(func(w waiter[T]) { m[Claim{k.rank, w.place.Late}]++ })
 	}
 	return m
 }
--- a/io/front/beats.go
+++ b/io/front/beats.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"kingcupstand/core/desk"
+	"kingcupstand/core/line"
 	"kingcupstand/core/peers"
 	"kingcupstand/core/pool"
 	"kingcupstand/core/quota"
@@ -133,7 +134,9 @@
 		m.Demands = append(m.Demands, &wire.ServiceDemand{Service: h, PerSecond: v})
 	}
 	for k, n := range d.Waits {
-		m.Waits = append(m.Waits, &wire.RankWait{Service: k.Service, Rank: uint32(k.Rank), Count: uint32(n)})
+		m.Waits = append(m.Waits, &wire.RankWait{
+			Service: k.Service, Rank: uint32(k.Claim.Rank), Late: k.Claim.Late, Count: uint32(n),
+		})
 	}
 	f.beats.Send(m, s.peers.Audience(s.random))
 }
@@ -169,7 +172,7 @@
 	s.quota.Hear(now, m.Peer, m.Incarnation, m.Sequence <= youngBeats, ws)
 	d := desk.Said{Waits: map[desk.Wait]int{}, Demands: map[uint32]float64{}}
 	for _, w := range m.Waits {
-		d.Waits[desk.Wait{Service: w.Service, Rank: int(w.Rank)}] = int(w.Count)
+		d.Waits[desk.Wait{Service: w.Service, Claim: line.Claim{Rank: int(w.Rank), Late: w.Late}}] = int(w.Count)
 	}
 	for _, v := range m.Demands {
 		d.Demands[v.Service] = v.PerSecond
