A 429's line tells the allowance that decided it

Cause: the line of a request refused over its allowance had no inputs, so that an operator could not tell a workspace above its rate from a front that grants too little. The detail now has what was left and asked, rate, burst and the part of the rate that this front fills at.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -180,12 +180,21 @@
 	return us
 }
 
-// Level returns what is left of a workspace's allowance.
-func (q *Quota) Level(now time.Duration, workspace string) float64 {
+// State is what a decision about a workspace follows from.
+type State struct {
+	// Level is what is left of the allowance.
+	Level float64
+	// Rate and Burst are the allowance of all fronts together, and Part is the part of
+	// the rate that fills the bucket here.
+	Rate, Burst, Part float64
+}
+
+// State returns what a decision about a workspace follows from.
+func (q *Quota) State(now time.Duration, workspace string) State {
 	b := q.buckets[q.hash(workspace)]
 	if b == nil {
-		return 0
+		return State{}
 	}
 	q.fill(now, b)
-	return b.level
+	return State{Level: b.level, Rate: b.workspace.Rate, Burst: b.workspace.Burst, Part: q.part}
 }
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -73,7 +73,7 @@
 	q.Hear(0, "p", 1, false, quota.Uses{})
 	q.Hear(0, "p", 1, false, quota.Uses{h: {Used: 30, Level: 100}})
 	q.Hear(0, "p", 2, false, quota.Uses{h: {Used: 5, Level: 100}})
-	if got := q.Level(0, "w"); got != 65 {
+	if got := q.State(0, "w").Level; got != 65 {
 		t.Errorf("level %v, want 65", got)
 	}
 }
@@ -105,11 +105,11 @@
 	q.Configure(0, []*plan.Workspace{{Name: "w", Rate: 10, Burst: 100}})
 	h := pool.Hash("w")
 	q.Hear(0, "p", 1, false, quota.Uses{h: {Used: 1e6, Level: 100}})
-	if got := q.Level(0, "w"); got != 100 {
+	if got := q.State(0, "w").Level; got != 100 {
 		t.Errorf("level %v after an old front was first heard, want 100", got)
 	}
 	q.Hear(0, "p", 1, false, quota.Uses{h: {Used: 1e6 + 30, Level: 100}})
-	if got := q.Level(0, "w"); got != 70 {
+	if got := q.State(0, "w").Level; got != 70 {
 		t.Errorf("level %v, want 70", got)
 	}
 }
@@ -124,7 +124,7 @@
 	q.Reachable(time.Second, 1, 2)
 	back := 8 * time.Second
 	q.Hear(back, "p", 1, false, quota.Uses{h: {Used: 5000, Level: 100}})
-	if got := q.Level(back, "w"); got != 100 {
+	if got := q.State(back, "w").Level; got != 100 {
 		t.Errorf("level %v after the partition, want 100", got)
 	}
 }
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -246,7 +246,10 @@
 		q.note.peers, _ = s.peers.Count(now)
 		q.spent = s.past.Spent(now, q.route.Name, q.call.Wait)
 		q.expect = s.pool.Expect(q.service, q.call.Prompt)
-		retry, ok = s.quota.Take(now, n, q.cost)
+		if retry, ok = s.quota.Take(now, n, q.cost); !ok {
+			a := s.quota.State(now, n)
+			q.note.reason = fmt.Sprintf("left %.0f, asked %.0f, rate %.0f, burst %.0f, part %.2f", a.Level, q.cost, a.Rate, a.Burst, a.Part)
+		}
 		return ok
 	})
 	if !ok {
