--- a/internal/bench/bound.go
+++ b/internal/bench/bound.go
@@ -30,7 +30,12 @@
 	}
 	n := int((s.length+time.Minute)/slot) + 2
 	f := newFree(n, capacity)
-	weight := func(r *request) float64 { return s.Deployment.Tiers[r.rank-1].weight }
+	weight := func(r *request) float64 {
+		if r.weight > 0 {
+			return r.weight
+		}
+		return s.Deployment.Tiers[r.rank-1].weight
+	}
 	order := slices.Clone(rs)
 	slices.SortStableFunc(order, func(a, b *request) int {
 		x, y := weight(a)/size(a), weight(b)/size(b)
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -79,6 +79,8 @@
 	output    int
 	prefix    uint64
 	entry     int
+	// weight replaces the tier's weight in bounds if it is above 0.
+	weight float64
 
 	done   time.Duration // when the whole answer was there, or 0
 	first  time.Duration
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -20,6 +20,7 @@
 type benchCommand struct {
 	streams
 	Seeds int    `long:"seeds" default:"3" description:"number of seeds, from 1 on"`
+	Rush  bool   `long:"rush" description:"play the load patterns of fronts instead"`
 	JSON  bool   `long:"json" description:"print the results as JSON"`
 	Plot  string `long:"plot" value-name:"FILE" description:"draw the weighted goodput to a file (.svg or .png)"`
 }
@@ -47,6 +48,9 @@
 	if c.Seeds < 1 {
 		return fmt.Errorf("%w: expected --seeds above 0", errInput)
 	}
+	if c.Rush {
+		return c.rushes()
+	}
 	all := bench.Scenarios()
 	parts := make([][]row, len(all))
 	var g sync.WaitGroup
