The most urgent kind may take the next slot of a full target

Cause: from eight fronts on, slots are divided. Change: after 150 ms, about a beat, such a request is sent to a full target that nobody is known to wait at: it gets the next slot there.

--- a/core/desk/desk.go
+++ b/core/desk/desk.go
@@ -33,6 +33,11 @@
 // fits nobody.
 const demandMemory = 3 * time.Second
 
+// pressAfter is how long the most urgent kind waits for a slot that is free or this
+// front's own: about a beat, after which its turn should have come if all fronts'
+// lines were one.
+const pressAfter = 150 * time.Millisecond
+
 // Ask is a request's claim to a turn.
 type Ask struct {
 	Want pool.Want
@@ -174,7 +179,9 @@
 	if !ok || !d.may(now, service, line.Claim{Rank: p.Rank, Late: p.Late}) {
 		return Turn[T]{}, false
 	}
-	c, err := d.pool.Choose(now, t.ask.Want)
+	w := t.ask.Want
+	w.Pressing = t.ask.Order == 0 && !t.ask.Late && now-t.joined >= pressAfter
+	c, err := d.pool.Choose(now, w)
 	if err != nil {
 		return Turn[T]{}, false // full or without targets: the next event tries again
 	}
--- a/core/desk/desk_test.go
+++ b/core/desk/desk_test.go
@@ -95,6 +95,32 @@
 	}
 }
 
+// The pattern is a long overload: a front whose own slots are all busy keeps the most
+// urgent kind waiting while other fronts' slots go to less urgent ones. After a beat it
+// takes the next slot of a full target, one request at each.
+func TestUrgentKindTakesTheNextSlotOfAFullTarget(t *testing.T) {
+	d, p := newDesk(1)
+	p.Hear("peer", []pool.Use{{Target: pool.Hash("t"), Running: 1}})
+	less := ask(0, time.Second, 10*time.Second)
+	less.Order = 1
+	d.Join(0, less, 1)
+	if _, ok := d.Next(400*time.Millisecond, "s"); ok {
+		t.Error("a less urgent kind gets a slot of a full target")
+	}
+	for i := range 2 {
+		d.Join(400*time.Millisecond, ask(0, time.Second, 10*time.Second), 10+i)
+	}
+	if _, ok := d.Next(500*time.Millisecond, "s"); ok {
+		t.Error("no wait for a slot that comes free")
+	}
+	if u, ok := d.Next(600*time.Millisecond, "s"); !ok || u.Ticket.Value != 10 {
+		t.Error("the urgent one doesn't get the next slot")
+	}
+	if _, ok := d.Next(600*time.Millisecond, "s"); ok {
+		t.Error("two wait for the next slot of one target")
+	}
+}
+
 // Who has had its turn can't leave any more, and who left gets none.
 func TestLeave(t *testing.T) {
 	d, p := newDesk(1)
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -54,6 +54,9 @@
 	Exclude []string
 	// Risky is true if a failure can't be repaired by a second send.
 	Risky bool
+	// Pressing is true if the request may wait for a slot at a full target: it gets
+	// the next one there, before what other fronts send after it.
+	Pressing bool
 }
 
 // Choice is the target that was chosen, with what decided it.
@@ -234,7 +237,7 @@
 		if t.Leaving || contains(w.Exclude, t.ID) || !t.usable(now) {
 			continue
 		}
-		if !t.room() || now < t.full {
+		if !t.room() && (!w.Pressing || !t.next()) || now < t.full {
 			err = ErrFull
 			continue
 		}
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -121,6 +121,10 @@
 	return !t.Engine || !t.divided || t.own < t.mine || t.credit >= 1
 }
 
+// next reports whether a full target has nobody that waits for its next slot, as far
+// as is known.
+func (t *target) next() bool { return t.Engine && t.running() <= t.limit() }
+
 // spare returns how many of its slots nobody uses.
 func (t *target) spare() int { return max(0, t.limit()-t.running()) }
 
