--- a/core/desk/desk.go
+++ b/core/desk/desk.go
@@ -34,9 +34,9 @@
 const demandMemory = 3 * time.Second
 
 // pressAfter is how long the most urgent kind waits for a slot that is free or this
-// front's own: about a beat, after which its turn should have come if all fronts'
-// lines were one.
-const pressAfter = 150 * time.Millisecond
+// front's own: about a beat of the smallest deployment whose slots are divided, after
+// which its turn should have come if all fronts' lines were one.
+const pressAfter = 60 * time.Millisecond
 
 // Ask is a request's claim to a turn.
 type Ask struct {
