Numbers from outside are bounded, and decoders of them fuzzed

A wait of NaN, 1e300 or Inf milliseconds became a negative duration and was taken for no wait; a beat with NaN demand left no slot to anybody (0 and 0 of 8), and NaN levels would have lifted an allowance.

--- a/io/beat/beat.go
+++ b/io/beat/beat.go
@@ -94,9 +94,9 @@
 			b.log.Info("beat not read", "error", err.Error())
 			continue
 		}
-		m := &wire.Beat{}
-		if err := proto.Unmarshal(buf[:n], m); err != nil || m.Peer == "" {
-			b.log.Info("beat not understood", "from", from.String(), "bytes", n)
+		m, err := Parse(buf[:n])
+		if err != nil {
+			b.log.Info("beat not understood", "from", from.String(), "bytes", n, "error", err.Error())
 			continue
 		}
 		take(m)
--- /dev/null
+++ b/io/beat/check_test.go
@@ -0,0 +1,57 @@
+package beat_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"kingcupstand/core/plan"
+	"kingcupstand/core/pool"
+	"kingcupstand/core/quota"
+	"kingcupstand/core/share"
+	"kingcupstand/io/beat"
+	"kingcupstand/schema/wire"
+)
+
+// FuzzBeat feeds datagrams to what beats change: whatever is accepted leaves
+// allowances finite and slots divided.
+func FuzzBeat(f *testing.F) {
+	for _, m := range []*wire.Beat{
+		{Peer: "192.0.2.1:7600", Sequence: 1, Workspaces: []*wire.WorkspaceUse{{Workspace: pool.Hash("w"), Used: 5, Level: -3}}},
+		{Peer: "192.0.2.1:7600", Workspaces: []*wire.WorkspaceUse{{Workspace: pool.Hash("w"), Used: math.NaN(), Level: math.Inf(1)}}},
+		{Peer: "192.0.2.1:7600", Demands: []*wire.ServiceDemand{{Service: 1, PerSecond: math.Inf(1)}, {Service: 1, PerSecond: math.NaN()}}},
+		{Peer: "192.0.2.1:7600", Uses: []*wire.TargetUse{{Target: pool.Hash("t"), Running: math.MaxUint32}}},
+		{Peer: "not an address"},
+	} {
+		b, err := proto.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := beat.Parse(b)
+		if err != nil {
+			return
+		}
+		q := quota.New(pool.Hash)
+		q.Configure(0, []*plan.Workspace{{Name: "w", Tokens: true, Rate: 10, Burst: 100}})
+		us := quota.Uses{}
+		for _, w := range m.Workspaces {
+			us[w.Workspace] = quota.Use{Used: w.Used, Level: w.Level}
+		}
+		q.Hear(time.Second, m.Peer, m.Incarnation, false, us)
+		if l := q.State(time.Second, "w").Level; math.IsNaN(l) || l > 100 {
+			t.Errorf("level %v", l)
+		}
+		for _, d := range m.Demands {
+			fs := []share.Front{{Name: "self", Weight: 1}, {Name: m.Peer, Weight: d.PerSecond}}
+			mine, theirs := share.Mine("self", fs, []share.Target{{ID: "t", Slots: 8}}), share.Mine(m.Peer, fs, []share.Target{{ID: "t", Slots: 8}})
+			if m.Peer != "self" && mine["t"]+theirs["t"] != 8 {
+				t.Errorf("demand %v: %d and %d of 8 slots", d.PerSecond, mine["t"], theirs["t"])
+			}
+		}
+	})
+}
