Metrics of a front: services by belief, repeats by cause, pauses, allowances, memory

Change: gauges of each service's targets, slots, running, waiting and retries left, counters of second sends by cause, a histogram of longest pauses, what was left of an allowance at its last refusal, age of the target list, memory.

--- a/io/front/beats.go
+++ b/io/front/beats.go
@@ -93,8 +93,10 @@
 	opened, reused := f.dialer.Counts()
 	f.meter.opened.Update(float64(opened))
 	f.meter.reused.Update(float64(reused))
+	f.meter.platform(now, s)
 	for _, name := range s.desk.Services() {
 		l := s.pool.Load(now, name)
+		f.meter.load(name, l, s.desk.Waiting(name), s.budget.Left(now, name))
 		f.telem.Log.Info("load", "service", name, "targets", l.Targets, "usable", l.Usable, "slots", l.Slots, "running", l.Running,
 			"own", l.Own, "own-slots", l.Mine, "waiting", s.desk.Waiting(name), "demand", int(s.desk.Demand(now, name)),
 			"retries-left", int(s.budget.Left(now, name)), "fronts-heard", heard, "fronts", all,
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -1,7 +1,9 @@
 package front
 
 import (
+	"errors"
 	"log"
+	"runtime/metrics"
 	"strconv"
 	"strings"
 	"sync"
@@ -10,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
 
+	"kingcupstand/core/pool"
 	"kingcupstand/io/telem"
 )
 
@@ -57,6 +60,45 @@
 	}
 }
 
+// platform reports how old what the platform said is, and the process's memory.
+func (m *meter) platform(now time.Duration, s *state) {
+	m.telem.Scope.Gauge("target_list_age_seconds").Update(s.list.Age(now).Seconds())
+	v := []metrics.Sample{{Name: "/memory/classes/total:bytes"}}
+	metrics.Read(v)
+	m.telem.Scope.Gauge("memory_bytes").Update(float64(v[0].Value.Uint64()))
+}
+
+// load reports what is believed of a service's targets.
+func (m *meter) load(service string, l pool.Load, waiting int, retries float64) {
+	c := m.telem.Scope.Tagged(map[string]string{"service": service})
+	c.Gauge("service_targets").Update(float64(l.Targets))
+	c.Gauge("service_targets_usable").Update(float64(l.Usable))
+	c.Gauge("service_slots").Update(float64(l.Slots))
+	c.Gauge("service_running").Update(float64(l.Running))
+	c.Gauge("service_waiting").Update(float64(waiting))
+	c.Gauge("service_retries_left").Update(retries)
+}
+
+// repeat counts a second send that was wanted.
+func (m *meter) repeat(err error, allowed bool) {
+	m.telem.Scope.Tagged(map[string]string{"cause": cause(err), "allowed": strconv.FormatBool(allowed)}).Counter("repeats").Inc(1)
+}
+
+// cause names the kind of a send's failure.
+func cause(err error) string {
+	for e, n := range causes {
+		if errors.Is(err, e) {
+			return n
+		}
+	}
+	return "connection"
+}
+
+var causes = map[error]string{
+	errNotRun: "not-run", errStalled: "silent", errTarget: "target-failed", errForeign: "foreign-answer",
+	errUnsigned: "no-receipt", errPartial: "partial-event", errTimeout: "timeout", errStopped: "stopping",
+}
+
 // allow reports whether a line of a kind may be written, and how many of it were
 // dropped before.
 func (m *meter) allow(name string) (dropped int, ok bool) {
@@ -111,6 +153,9 @@
 	if q.note.first > 0 {
 		t.Histogram("first_byte", latencies).RecordDuration(q.note.first)
 	}
+	if q.out != nil && q.out.gap > 0 {
+		t.Histogram("longest_pause", latencies).RecordDuration(q.out.gap)
+	}
 	var revision uint64
 	if q.plan != nil {
 		revision = q.plan.Revision()
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -248,6 +248,7 @@
 		q.expect = s.pool.Expect(q.service, q.call.Prompt)
 		if retry, ok = s.quota.Take(now, n, q.cost); !ok {
 			a := s.quota.State(now, n)
+			q.front.telem.Scope.Tagged(map[string]string{"workspace": n}).Gauge("allowance_left").Update(a.Level)
 			q.note.reason = fmt.Sprintf("left %.0f, asked %.0f, rate %.0f, burst %.0f, part %.2f", a.Level, q.cost, a.Rate, a.Burst, a.Part)
 		}
 		return ok
@@ -370,6 +371,7 @@
 	ok := ctrl.Ask(q.front.loop, func(now time.Duration, s *state) bool {
 		return s.budget.Repeat(now, q.service)
 	})
+	q.front.meter.repeat(v.err, ok)
 	q.front.log("repeat", "repeat", "request-id", q.call.ID, "allowed", ok, "error", v.err.Error(), "tried", q.tried)
 	return ok
 }
