Soak: one-way silence, delays, resets, reloads; planned stops cut nothing

Cause: the soak had cuts and freezes both ways only, and never asked whether a planned stop cuts what is in flight. Change: the relay mutes answers only, delays reads and resets connections; fronts get SIGHUP; after the last fault all fronts are stopped and started in turn while callers keep their connections, and no request that a target ran may end without its whole answer.

--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -5,20 +5,24 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 )
 
-// Relay passes TCP connections on to a process. It can cut them, refuse new ones
-// and hold bytes back, as a broken network does.
+// Relay passes TCP connections on to a process. It can cut and reset them, refuse new
+// ones, delay bytes and hold them back both ways or one, as a broken network does.
 type Relay struct {
 	listener net.Listener
 	target   string
 
-	mu     sync.Mutex
-	thaw   *sync.Cond
-	conns  map[net.Conn]bool
-	cut    bool
-	frozen bool
-	closed bool
+	mu    sync.Mutex
+	thaw  *sync.Cond
+	conns map[net.Conn]bool
+	cut   bool
+	// asks and answers are true while bytes to and from the process are held.
+	asks    bool
+	answers bool
+	delay   time.Duration
+	closed  bool
 }
 
 // NewRelay returns a relay to an address, on a port of its own.
@@ -52,8 +56,8 @@
 			_ = c.Close()
 			continue
 		}
-		go r.loop(c, d)
-		go r.loop(d, c)
+		go r.loop(c, d, &r.asks)
+		go r.loop(d, c, &r.answers)
 	}
 }
 
@@ -70,12 +74,12 @@
 // relayChunk is the most bytes that are passed on at once.
 const relayChunk = 16 << 10
 
-// loop passes bytes from one connection to the other.
-func (r *Relay) loop(from, to net.Conn) {
+// loop passes bytes from one connection to the other while they are not held.
+func (r *Relay) loop(from, to net.Conn, held *bool) {
 	b := make([]byte, relayChunk)
 	for {
 		n, err := from.Read(b)
-		r.wait()
+		r.wait(held)
 		if n > 0 {
 			if _, e := to.Write(b[:n]); e != nil {
 				err = io.EOF
@@ -89,13 +93,15 @@
 	}
 }
 
-// wait returns when the relay is not frozen.
-func (r *Relay) wait() {
+// wait returns when bytes are not held, and after the delay.
+func (r *Relay) wait(held *bool) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	for r.frozen && !r.closed {
+	for *held && !r.closed {
 		r.thaw.Wait()
 	}
+	d := r.delay
+	r.mu.Unlock()
+	time.Sleep(d)
 }
 
 func (r *Relay) drop(c net.Conn) {
@@ -106,22 +112,44 @@
 }
 
 // Cut closes all connections and refuses new ones until Heal.
-func (r *Relay) Cut() { r.set(true, false) }
+func (r *Relay) Cut() {
+	r.set(func() {
+		r.cut = true
+		r.closeAll()
+	})
+}
 
 // Freeze holds all bytes back until Heal.
-func (r *Relay) Freeze() { r.set(false, true) }
+func (r *Relay) Freeze() { r.set(func() { r.asks, r.answers = true, true }) }
+
+// Mute holds back what the process sends until Heal; it still gets everything.
+func (r *Relay) Mute() { r.set(func() { r.answers = true }) }
 
-// Heal ends a Cut or a Freeze.
-func (r *Relay) Heal() { r.set(false, false) }
+// Slow delays each read by d until Heal.
+func (r *Relay) Slow(d time.Duration) { r.set(func() { r.delay = d }) }
 
-func (r *Relay) set(cut, frozen bool) {
+// Reset resets all connections; new ones are passed on.
+func (r *Relay) Reset() {
+	r.set(func() {
+		for c := range r.conns {
+			if t, ok := c.(*net.TCPConn); ok {
+				_ = t.SetLinger(0) // it may be closed already
+			}
+		}
+		r.closeAll()
+	})
+}
+
+// Heal ends what the others began.
+func (r *Relay) Heal() {
+	r.set(func() { r.cut, r.asks, r.answers, r.delay = false, false, false, 0 })
+}
+
+func (r *Relay) set(change func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cut, r.frozen = cut, frozen
+	change()
 	r.thaw.Broadcast()
-	if cut {
-		r.closeAll()
-	}
 }
 
 func (r *Relay) closeAll() {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,6 +18,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -115,6 +116,8 @@
 	header   http.Header
 	body     string
 	whole    bool
+	// calm is true if no fault but planned stops came meanwhile.
+	calm bool
 }
 
 type world struct {
@@ -126,8 +129,10 @@
 	relays   []*fleet.Relay
 	fronts   []*process
 	faults   sync.WaitGroup
-	mu       sync.Mutex
-	seen     []outcome
+	// calm is true after the last fault.
+	calm atomic.Bool
+	mu   sync.Mutex
+	seen []outcome
 }
 
 func TestSoak(t *testing.T) {
@@ -146,6 +151,8 @@
 	}
 	w.faults.Wait()
 	w.recover()
+	w.calm.Store(true)
+	w.roll()
 	close(stop)
 	g.Wait()
 	w.check()
@@ -214,13 +221,23 @@
 		"services":[{"name":"llm","max_connections":200,"engine":{"slots":8,"kv_capacity":100000}},{"name":"web","max_connections":200}]}`, w.version))
 }
 
+// roll stops and starts one front after the other as planned, while callers go on.
+func (w *world) roll() {
+	for _, p := range w.fronts {
+		p.signal(syscall.SIGTERM)
+		p.end()
+		p.start()
+	}
+	w.recover()
+}
+
 // inject starts one fault, which ends by itself.
 func (w *world) inject() {
 	d := time.Duration(200+w.random.IntN(1500)) * time.Millisecond
 	p := w.fronts[w.random.IntN(fronts)]
 	r := w.relays[w.random.IntN(len(w.relays))]
-	k := w.random.IntN(6)
-	if k == 5 {
+	k := w.random.IntN(10)
+	if k == 9 {
 		w.configure()
 		return
 	}
@@ -252,6 +269,18 @@
 			r.Freeze()
 			time.Sleep(d)
 			r.Heal()
+		case 5:
+			r.Mute()
+			time.Sleep(d)
+			r.Heal()
+		case 6:
+			r.Slow(d / 20)
+			time.Sleep(d)
+			r.Heal()
+		case 7:
+			r.Reset()
+		case 8:
+			p.signal(syscall.SIGHUP)
 		}
 	})
 }
@@ -267,7 +296,9 @@
 		case <-time.After(time.Duration(r.IntN(40)) * time.Millisecond):
 		}
 		path := []string{"/chat/", "/get/", "/do/"}[r.IntN(3)] + fmt.Sprint(i)
+		calm := w.calm.Load()
 		o := call(c, w.fronts[r.IntN(fronts)].callers, fmt.Sprintf("s-%d-%d", n, i), path)
+		o.calm = calm
 		w.mu.Lock()
 		w.seen = append(w.seen, o)
 		w.mu.Unlock()
@@ -331,6 +362,12 @@
 	for _, o := range w.seen {
 		counts[o.status]++
 		n := w.runs(o.id)
+		if o.calm && n > 0 && !o.whole {
+			w.t.Errorf("%s to %s was cut by a planned stop: status %d, %d bytes", o.id, o.path, o.status, len(o.body))
+			for _, p := range w.fronts {
+				p.tell(0, o.id)
+			}
+		}
 		switch {
 		case strings.HasPrefix(o.path, "/do/") && n > 1:
 			w.t.Errorf("%s ran %d times", o.id, n)
