--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -65,12 +65,7 @@
 		}
 	}
 	if c.JSON {
-		e := json.NewEncoder(c.out)
-		e.SetIndent("", "  ")
-		if err := e.Encode(rows); err != nil {
-			return fmt.Errorf("results: %w", err)
-		}
-		return nil
+		return c.json(rows)
 	}
 	return c.table(rows)
 }
@@ -98,6 +93,16 @@
 	return rows
 }
 
+// json prints results as JSON.
+func (c *benchCommand) json(rows any) error {
+	e := json.NewEncoder(c.out)
+	e.SetIndent("", "  ")
+	if err := e.Encode(rows); err != nil {
+		return fmt.Errorf("results: %w", err)
+	}
+	return nil
+}
+
 func (c *benchCommand) table(rows []row) error {
 	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "scenario\tdeployment\tpolicy\ttop\tweighted\tbound\twasted\thits\tothers\tfirst token p95\tinversions")
--- a/internal/cli/rush.go
+++ b/internal/cli/rush.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"encoding/json"
 	"fmt"
 	"sync"
 	"text/tabwriter"
@@ -37,12 +36,7 @@
 	}
 	g.Wait()
 	if c.JSON {
-		e := json.NewEncoder(c.out)
-		e.SetIndent("", "  ")
-		if err := e.Encode(rows); err != nil {
-			return fmt.Errorf("results: %w", err)
-		}
-		return nil
+		return c.json(rows)
 	}
 	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "pattern\tpolicy\tworth\tbound\tserved\ton time\trefused\tagain\tidle slots")
