--- a/io/front/request.go
+++ b/io/front/request.go
@@ -292,7 +292,7 @@
 			}
 			continue
 		}
-		q.note.predicted, q.note.running = t.choice.Wait, t.choice.Running
+		q.note.predicted, q.note.running, q.note.listAge = t.choice.Wait, t.choice.Running, t.listAge
 		v := q.send(ctx, t.choice)
 		if v.done {
 			return
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -50,6 +50,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	e := &exchange{request: q, choice: c, begun: time.Now(), cancel: cancel, prompt: q.call.Prompt, outcome: pool.Broken}
+	q.front.log("sending", "sending", "request-id", q.call.ID, "target", c.ID, "sends", q.sends, "running", c.Running, "slots", c.Slots,
+		"predicted-ms", c.Wait.Milliseconds(), "turn-ms", q.note.waited.Milliseconds(), "plan", q.plan.Revision(), "list-age-ms", q.note.listAge.Milliseconds())
 	v := e.run(ctx)
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled) && e.outcome == pool.Broken {
 		e.outcome = pool.Neutral
--- a/io/front/turn.go
+++ b/io/front/turn.go
@@ -25,6 +25,8 @@
 type turn struct {
 	choice  pool.Choice
 	waited  time.Duration
+	// listAge is how old the list was that the choice is from.
+	listAge time.Duration
 	err     error
 	refusal desk.Refusal
 }
@@ -83,7 +85,7 @@
 			return
 		}
 		s.changed = true
-		t.Ticket.Value.granted <- turn{choice: t.Choice, waited: t.Waited}
+		t.Ticket.Value.granted <- turn{choice: t.Choice, waited: t.Waited, listAge: s.list.Age(now)}
 	}
 }
 
