--- a/io/front/turn.go
+++ b/io/front/turn.go
@@ -23,8 +23,8 @@
 
 // turn is a slot at a target, or why there is none.
 type turn struct {
-	choice  pool.Choice
-	waited  time.Duration
+	choice pool.Choice
+	waited time.Duration
 	// listAge is how old the list was that the choice is from.
 	listAge time.Duration
 	err     error
