--- a/core/line/line.go
+++ b/core/line/line.go
@@ -24,8 +24,8 @@
 
 // Parts of their requests that lanes get served, against those of other lanes.
 const (
-	// Second is the part that the second lane gets at least, of the first one's. A
-	// kind that is served a quarter as often as all counts as starved.
+	// Second is the part that the second lane gets at least, of the first one's: a
+	// little more than a quarter, below which the users' rules call a kind starved.
 	Second = 0.3
 	// Next is the same for each further lane, of the one before it: close to 1, but
 	// for the error of parts that are measured over a few seconds.
--- a/internal/bench/rush.go
+++ b/internal/bench/rush.go
@@ -28,7 +28,6 @@
 
 // kind is a kind of request. Sizes vary from half to twice the mean.
 type kind struct {
-	name string
 	// order is its rank among the kinds of its tier.
 	order  int
 	goal   time.Duration
@@ -63,17 +62,14 @@
 	}
 }
 
-// size is how much of the kind's mean the caller asks for.
-func (c *caller) size() float64 { return float64(c.output) / float64(c.kind.output) }
-
 // Rushes returns the load patterns.
 func Rushes() []Rush {
 	// Kinds as on the sheets of both operators: few long requests that are worth
 	// much, many middle ones, and short answers to middling prompts.
 	kinds := []kind{
-		{name: "long", order: 0, goal: 800 * time.Millisecond, limit: 15 * time.Second, each: 24, prompt: 6600, output: 385, worth: 10, late: 3},
-		{name: "middle", order: 1, goal: 400 * time.Millisecond, limit: 12 * time.Second, each: 66, prompt: 640, output: 294, worth: 1.75, late: 0.5},
-		{name: "short", order: 2, goal: 400 * time.Millisecond, limit: 3 * time.Second, each: 36, prompt: 1800, output: 21, worth: 0.5, late: 0.15},
+		{order: 0, goal: 800 * time.Millisecond, limit: 15 * time.Second, each: 24, prompt: 6600, output: 385, worth: 10, late: 3},
+		{order: 1, goal: 400 * time.Millisecond, limit: 12 * time.Second, each: 66, prompt: 640, output: 294, worth: 1.75, late: 0.5},
+		{order: 2, goal: 400 * time.Millisecond, limit: 3 * time.Second, each: 36, prompt: 1800, output: 21, worth: 0.5, late: 0.15},
 	}
 	r := Rush{
 		fronts: 12, engines: unlike(12), kinds: kinds, length: 30 * time.Second,
