--- a/io/beat/check_test.go
+++ b/io/beat/check_test.go
@@ -55,3 +55,26 @@
 		}
 	})
 }
+
+// A beat that can't be used is refused whole.
+func TestParseRefuses(t *testing.T) {
+	const peer = "192.0.2.1:7600"
+	for name, m := range map[string]*wire.Beat{
+		"no address":         {Peer: "front"},
+		"too much running":   {Peer: peer, Uses: []*wire.TargetUse{{Running: math.MaxUint32}}},
+		"too many tokens":    {Peer: peer, Uses: []*wire.TargetUse{{PromptTokens: math.MaxUint32}}},
+		"too many waiting":   {Peer: peer, Waits: []*wire.RankWait{{Count: math.MaxUint32}}},
+		"endless demand":     {Peer: peer, Demands: []*wire.ServiceDemand{{PerSecond: math.Inf(1)}}},
+		"demand below 0":     {Peer: peer, Demands: []*wire.ServiceDemand{{PerSecond: -1}}},
+		"use is no number":   {Peer: peer, Workspaces: []*wire.WorkspaceUse{{Used: math.NaN()}}},
+		"level has no bound": {Peer: peer, Workspaces: []*wire.WorkspaceUse{{Level: math.Inf(-1)}}},
+	} {
+		b, err := proto.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := beat.Parse(b); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
