A file that is being written is no change of the platform's values

Change: an empty file isn't news to who holds a text; at a start it is read as before. Test: TestFileBeingWritten, red before.

--- a/io/plat/file.go
+++ b/io/plat/file.go
@@ -43,7 +43,9 @@
 		if err != nil {
 			return Text{}, fmt.Errorf("platform file: %w", err)
 		}
-		if g := strconv.FormatUint(xxhash.Sum64(b), 16); g != tag {
+		// A file that is being rewritten is empty for a moment: no news to who has it.
+		written := len(b) > 0 || tag == ""
+		if g := strconv.FormatUint(xxhash.Sum64(b), 16); g != tag && written {
 			return Text{Body: b, Tag: g}, nil
 		}
 		select {
--- a/io/plat/plat_test.go
+++ b/io/plat/plat_test.go
@@ -68,6 +68,27 @@
 	}
 }
 
+// A file that is being written is empty for a moment; that is no change.
+func TestFileBeingWritten(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "configuration.yaml")
+	write := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Error(err)
+		}
+	}
+	write("one")
+	s := plat.NewFile(file, file, time.Millisecond)
+	one, err := s.Configuration(t.Context(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	write("")
+	time.AfterFunc(30*time.Millisecond, func() { write("two") })
+	if two, err := s.Configuration(t.Context(), one.Tag); err != nil || string(two.Body) != "two" {
+		t.Errorf("got %q, %v", two.Body, err)
+	}
+}
+
 // TestFailures tells a failed read from an unchanged value.
 func TestFailures(t *testing.T) {
 	status := http.StatusNotModified
