--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -1,23 +1,29 @@
 // Package quota enforces per-workspace allowances that all fronts share, without a
 // central counter.
 //
-// Each front keeps one token bucket per workspace. Its own requests drain the bucket
-// at once; the usage of the other fronts is subtracted when their heartbeats report
-// it. Heartbeats carry a running total since the sender's start, so a lost one is made
-// up by the next.
+// An allowance holds over any window of a given length: a workspace may use its rate times
+// that length, plus its burst. Each front sums the usage of all fronts over the last
+// window. It counts its own requests at once, and the usage of the other fronts when their
+// heartbeats report it. Heartbeats carry a running total since the sender's start, so a
+// lost one is made up by the next.
+//
+// A front that has just started knows nothing of the past. It takes the sustained part of
+// the allowance for used, evenly over the window before its start, which leaves the burst.
 //
 // A front whose heartbeats stopped may still be serving on the other side of a
-// partition. The bucket therefore fills only at a share of the rate: the live fronts
-// over all fronts that may be serving, as peers.Table.Count returns them. While each side
-// of a partition counts the fronts of the other in the total but not as live, the rates of
-// the sides don't add up to more than the allowance. That is so from peers.AliveFor until
+// partition. The limit therefore approaches a share of the allowance: the live fronts over
+// all fronts that may be serving, as peers.Table.Count returns them. While each side of a
+// partition counts the fronts of the other in the total but not as live, the shares of the
+// sides don't add up to more than the allowance. That is so from peers.AliveFor until
 // peers.ServingFor after the last heartbeats from the other side. Before that the
 // partition is not detected yet, and after it the other side's fronts count as stopped; in
-// both cases each side fills at the full rate.
+// both cases each side permits the full allowance. The limit changes gradually, because
+// the usage from before the partition, which both sides have counted, leaves the window
+// gradually, too.
 //
 // # Usage
 //
-//	l := quota.New(hash)
+//	l := quota.New(hash, quota.DefaultWindow)
 //	l.Configure(now, workspaces)
 //	wait, ok := l.Take(now, "workspace", 1500)
 //	l.Observe(now, "192.0.2.7:7600", incarnation, false, uses)
@@ -25,33 +31,52 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"kingcupstand/core/plan"
 )
 
+// DefaultWindow is the length of the window if none is set.
+const DefaultWindow = 8 * time.Second
+
+// Time constants with which the limit approaches its share of the allowance, relative to
+// the window. A lower limit is approached fast, so that the sides of a partition have
+// nearly reached their shares once the usage that they have both counted has left the
+// window. A higher one is approached as slowly as the usage of the other side leaves the
+// window, which was not counted on this side.
+const (
+	fallTimeConstant = 0.3
+	riseTimeConstant = 1.0
+)
+
 // Use is one front's usage of one workspace's allowance, in requests or tokens, whichever
 // the allowance counts.
 type Use struct {
 	// Used is the total since the front started.
 	Used float64
-	// Level is the level of the front's token bucket.
+	// Level is how much of the allowance is left according to the front; it may be below 0.
 	Level float64
 }
 
 // Uses holds a front's usage by the hash of the workspace's name.
 type Uses map[uint32]Use
 
-// bucket is the token bucket of one workspace.
-type bucket struct {
+// account is the usage of one workspace.
+type account struct {
 	workspace *plan.Workspace
-	level     float64
-	// updated is when the level was last brought up to date.
+	// recent is the usage of all fronts in the last window, as far as this front knows.
+	recent *window
+	// limit is the largest usage in a window that this front permits, as of updated.
+	limit   float64
 	updated time.Duration
 	// used is this front's own usage since it started.
 	used float64
 }
 
+// level returns how much of the allowance is left.
+func (a *account) level() float64 { return a.limit - a.recent.sum }
+
 // peerUsage is the last usage that a peer reported.
 type peerUsage struct {
 	incarnation uint64
@@ -60,48 +85,53 @@
 }
 
 // StaleAfter is how long after a peer's last heartbeat the growth of its usage is still
-// charged. After that the peer does not count as live here and the bucket fills at a
-// smaller share of the rate, which leaves room for the peer's usage; charging the usage
-// as well would count it twice. It equals peers.AliveFor.
+// charged. After that the peer does not count as live here and the limit approaches a
+// smaller share of the allowance, which leaves room for the peer's usage; charging the
+// usage as well would count it twice. It equals peers.AliveFor.
 const StaleAfter = 1200 * time.Millisecond
 
-// Limiter holds the token buckets of all workspaces at one front. It is not safe for
+// Limiter holds the usage of all workspaces as known to one front. It is not safe for
 // concurrent use.
 type Limiter struct {
-	buckets map[uint32]*bucket
-	peers   map[string]*peerUsage
-	// share is the fraction of the rate that fills the buckets here, from 0 to 1.
-	share float64
-	hash  func(string) uint32
+	accounts map[uint32]*account
+	peers    map[string]*peerUsage
+	// share is the fraction of the allowances that is permitted here, from 0 to 1.
+	share  float64
+	window time.Duration
+	hash   func(string) uint32
 }
 
-// New returns a Limiter without allowances. Heartbeats identify workspaces by the hash
-// of their name, which must be the same function at all fronts.
-func New(hash func(string) uint32) *Limiter {
-	return &Limiter{buckets: map[uint32]*bucket{}, peers: map[string]*peerUsage{}, share: 1, hash: hash}
+// New returns a Limiter without allowances. They hold over windows of the given length,
+// which must be above 0. Heartbeats identify workspaces by the hash of their name, which
+// must be the same function at all fronts.
+func New(hash func(string) uint32, window time.Duration) *Limiter {
+	return &Limiter{accounts: map[uint32]*account{}, peers: map[string]*peerUsage{}, share: 1, window: window, hash: hash}
 }
 
-// Configure replaces the allowances. Workspaces that stay keep the level of their
-// bucket, up to the new burst; new ones start with a full bucket.
+// Configure replaces the allowances. Workspaces that stay keep their usage.
 func (l *Limiter) Configure(now time.Duration, ws []*plan.Workspace) {
-	old := l.buckets
-	l.buckets = map[uint32]*bucket{}
+	old := l.accounts
+	l.accounts = map[uint32]*account{}
 	for _, w := range ws {
 		h := l.hash(w.Name)
-		b := old[h]
-		if b == nil {
-			b = &bucket{level: w.Burst}
-		} else {
-			l.fill(now, b)
+		a := old[h]
+		if a == nil {
+			a = &account{recent: newWindow(l.window)}
+			a.recent.spread(now, w.Rate*l.window.Seconds())
 		}
-		b.workspace, b.updated = w, now
-		b.level = min(b.level, w.Burst)
-		l.buckets[h] = b
+		a.workspace, a.updated = w, now
+		a.limit = l.permitted(a)
+		l.accounts[h] = a
 	}
 }
 
+// permitted returns the usage in a window that the limit of an account approaches.
+func (l *Limiter) permitted(a *account) float64 {
+	return l.share * (a.workspace.Rate*l.window.Seconds() + a.workspace.Burst)
+}
+
 // SetFronts sets the number of live fronts, this one included, and the total of those
-// that may be serving. The buckets fill at live/total of the rate.
+// that may be serving. The limits approach live/total of the allowances.
 func (l *Limiter) SetFronts(now time.Duration, live, total int) {
 	p := 1.0
 	if total > 0 {
@@ -110,48 +140,48 @@
 	if p == l.share {
 		return
 	}
-	for _, b := range l.buckets {
-		l.fill(now, b)
+	for _, a := range l.accounts {
+		l.advance(now, a)
 	}
 	l.share = p
 }
 
-// fill adds to a bucket what has accrued since its last update.
-func (l *Limiter) fill(now time.Duration, b *bucket) {
-	if d := now - b.updated; d > 0 {
-		b.level = min(b.workspace.Burst, b.level+b.workspace.Rate*l.share*d.Seconds())
-		b.updated = now
+// advance brings an account up to date.
+func (l *Limiter) advance(now time.Duration, a *account) {
+	a.recent.advance(now)
+	if d := now - a.updated; d > 0 {
+		p, c := l.permitted(a), riseTimeConstant
+		if p < a.limit {
+			c = fallTimeConstant
+		}
+		a.limit = p + (a.limit-p)*math.Exp(-d.Seconds()/(c*l.window.Seconds()))
+		a.updated = now
 	}
 }
 
-// Take takes n from a workspace's bucket, in requests or tokens, whichever the allowance
-// counts. It succeeds while the level is above 0, so one request may take it below 0.
-// Otherwise it reports false and the time after which the bucket would hold n at the
-// present rate, taken to be at least 1 a second. A workspace without an allowance is never
-// refused.
+// Take takes n from a workspace's allowance, in requests or tokens, whichever it counts.
+// It succeeds while any of the allowance is left, so one request may exceed it. Otherwise
+// it reports false and the time until enough usage has left the window for n to fit. A
+// workspace without an allowance is never refused.
 func (l *Limiter) Take(now time.Duration, workspace string, n float64) (wait time.Duration, ok bool) {
-	b := l.buckets[l.hash(workspace)]
-	if b == nil {
-		return 0, true
-	}
-	if b.workspace.Rate <= 0 {
+	a := l.accounts[l.hash(workspace)]
+	if a == nil || a.workspace.Rate <= 0 {
 		return 0, true
 	}
-	l.fill(now, b)
-	if b.level <= 0 {
-		r := max(b.workspace.Rate*l.share, 1)
-		return time.Duration((n - b.level) / r * float64(time.Second)), false
+	l.advance(now, a)
+	if a.level() <= 0 {
+		return a.recent.expires(now, n-a.level()), false
 	}
-	b.level -= n
-	b.used += n
+	a.recent.add(now, n)
+	a.used += n
 	return 0, true
 }
 
 // Refund puts back n that was taken for a request which did not run.
-func (l *Limiter) Refund(workspace string, n float64) {
-	if b := l.buckets[l.hash(workspace)]; b != nil && b.workspace.Rate > 0 {
-		b.level = min(b.workspace.Burst, b.level+n)
-		b.used -= n
+func (l *Limiter) Refund(now time.Duration, workspace string, n float64) {
+	if a := l.accounts[l.hash(workspace)]; a != nil && a.workspace.Rate > 0 {
+		a.recent.add(now, -n)
+		a.used -= n
 	}
 }
 
@@ -163,8 +193,7 @@
 //   - If started is true, the peer has started recently. All of its usage is charged, as
 //     all of it is recent.
 //   - If started is false and the peer reports for the first time, then it may be this
-//     front that has just started, with a full bucket. The level is lowered to the peer's
-//     level.
+//     front that has just started. Its level is lowered to the peer's level.
 func (l *Limiter) Observe(now time.Duration, peer string, incarnation uint64, started bool, us Uses) {
 	p := l.peers[peer]
 	charged := started || (p != nil && now-p.received <= StaleAfter)
@@ -178,49 +207,48 @@
 	}
 	p.received = now
 	for h, u := range us {
-		b := l.buckets[h]
+		a := l.accounts[h]
 		switch {
-		case b == nil:
+		case a == nil:
 		case charged:
-			l.fill(now, b)
-			b.level = min(b.workspace.Burst, b.level-(u.Used-p.uses[h].Used))
+			a.recent.add(now, u.Used-p.uses[h].Used)
 		case first:
-			l.fill(now, b)
-			b.level = min(b.level, u.Level)
+			l.advance(now, a)
+			a.recent.add(now, max(0, a.level()-u.Level))
 		}
 		p.uses[h] = u
 	}
 }
 
-// Uses returns this front's own usage and bucket levels, for its heartbeats.
+// Uses returns this front's own usage and the levels, for its heartbeats.
 // Workspaces without an allowance are left out.
 func (l *Limiter) Uses(now time.Duration) Uses {
 	us := Uses{}
-	for h, b := range l.buckets {
-		if b.workspace.Rate > 0 {
-			l.fill(now, b)
-			us[h] = Use{Used: b.used, Level: b.level}
+	for h, a := range l.accounts {
+		if a.workspace.Rate > 0 {
+			l.advance(now, a)
+			us[h] = Use{Used: a.used, Level: a.level()}
 		}
 	}
 	return us
 }
 
-// State is the state of a workspace's bucket, for logs.
+// State is the state of a workspace's allowance, for logs.
 type State struct {
-	// Level is what the bucket holds.
+	// Level is how much of the allowance is left.
 	Level float64
 	// Rate (a second) and Burst are the allowance over all fronts. Share is the fraction
-	// of the rate that fills the bucket of this front, from 0 to 1.
+	// of it that the limit of this front approaches, from 0 to 1.
 	Rate, Burst, Share float64
 }
 
-// State returns the state of a workspace's bucket, or the zero State if the workspace
+// State returns the state of a workspace's allowance, or the zero State if the workspace
 // is unknown.
 func (l *Limiter) State(now time.Duration, workspace string) State {
-	b := l.buckets[l.hash(workspace)]
-	if b == nil {
+	a := l.accounts[l.hash(workspace)]
+	if a == nil {
 		return State{}
 	}
-	l.fill(now, b)
-	return State{Level: b.level, Rate: b.workspace.Rate, Burst: b.workspace.Burst, Share: l.share}
+	l.advance(now, a)
+	return State{Level: a.level(), Rate: a.workspace.Rate, Burst: a.workspace.Burst, Share: l.share}
 }
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -281,7 +281,7 @@
 	if q.workspace == nil || q.mayHaveRun {
 		return
 	}
-	q.front.loop.Post(func(_ time.Duration, s *state) { s.quota.Refund(q.workspace.Name, q.cost) })
+	q.front.loop.Post(func(now time.Duration, s *state) { s.quota.Refund(now, q.workspace.Name, q.cost) })
 }
 
 // loop queues and dispatches the request until it is answered or may not be retried.
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -51,6 +51,14 @@
 	reapplyAt time.Duration
 }
 
+// allowanceWindow returns the window over which allowances hold.
+func allowanceWindow(s *spec.Front) time.Duration {
+	if s.AllowanceWindowMs == 0 {
+		return quota.DefaultWindow
+	}
+	return time.Duration(s.AllowanceWindowMs) * time.Millisecond
+}
+
 func newState(s *spec.Front, r *rand.Rand) *state {
 	p := pool.New(s.DataCentre, r)
 	return &state{
@@ -58,7 +66,7 @@
 		pool:   p,
 		sched:  sched.New[*pending](p, r),
 		roster: roster.New(),
-		quota:  quota.New(pool.Hash),
+		quota:  quota.New(pool.Hash, allowanceWindow(s)),
 		budget: retry.New(retry.Limits{
 			Ratio:  s.RetryRatio,
 			Slack:  s.RetrySlack,
