--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -20,12 +20,18 @@
 // what the others have in flight only as of their last heartbeat, a fraction of a second
 // ago, so without it all fronts would choose the same target at once.
 //
+// A target is left out if it would probably not finish a response in time that another one
+// can finish, because a response that is cut off at the deadline has occupied its slot in
+// vain. Long responses therefore wait for fast engines, and others go past them. An engine
+// is also left out, for a while, if prefilling the prompt would cause a long gap in the
+// streams that it runs.
+//
 // # Slots
 //
 // As far as a front knows, the requests in flight at an engine don't exceed its slots,
 // except for one request that Criteria.Oversubscribe permits. A plain service gets a
 // multiple of its slots, because its requests are short and it queues a few itself. With
-// many fronts each slot of an engine is assigned to one of them. A front may fill its own
+// several fronts each slot of an engine is assigned to one of them. A front may fill its own
 // slots at any time, and other fronts' slots only while it has credits or if
 // Criteria.Oversubscribe permits it. Each round of heartbeats gives every front an equal
 // share of a target's free slots as credits, so that all fronts together don't overload a
@@ -42,6 +48,7 @@
 import (
 	"errors"
 	"hash/fnv"
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -75,6 +82,15 @@
 	Service string
 	// PromptTokens is the length of the prompt; it is 0 for a plain service.
 	PromptTokens int
+	// Events is the expected number of events of a streamed response; 0 if it is unknown.
+	Events float64
+	// TimeLeft is the time until the caller's deadline; 0 if there is none.
+	TimeLeft time.Duration
+	// MaxGap is the longest gap between the events of a stream that callers expect; 0 sets
+	// no limit. A prompt that takes long to prefill causes a gap in all streams that the
+	// engine runs. It is prefilled there all the same if AllowGaps is true.
+	MaxGap    time.Duration
+	AllowGaps bool
 	// Exclude holds the IDs of targets that must not be chosen.
 	Exclude []string
 	// NoRetry is true if the request can't be sent again after a failure.
@@ -166,6 +182,17 @@
 	return p.estimator(service).predict(prompt)
 }
 
+// ExpectedHold returns how long a request is expected to occupy its slot at an average
+// target of the service. Events is the expected number of events of its response.
+func (p *Pool) ExpectedHold(service string, prompt int, events float64) time.Duration {
+	var gap time.Duration
+	ts := p.byService[service]
+	for _, t := range ts {
+		gap += t.eventGap / time.Duration(len(ts))
+	}
+	return p.ExpectedFirstByte(service, prompt) + time.Duration(events*float64(gap))
+}
+
 // Hash returns the hash that stands for the name of a target, service or workspace in
 // heartbeats.
 func Hash(name string) uint32 {
@@ -271,11 +298,12 @@
 	var best *target
 	var least time.Duration
 	err := ErrNoTarget
+	shortest := p.shortestOutput(now, c)
 	for _, t := range p.byService[c.Service] {
 		if t.Leaving || contains(c.Exclude, t.ID) || !t.usable(now) {
 			continue
 		}
-		if !t.hasSlot() && (!c.Oversubscribe || !t.acceptsExtra()) || now < t.fullUntil {
+		if !t.hasSlot() && (!c.Oversubscribe || !t.acceptsExtra()) || now < t.fullUntil || !t.suits(now, c, shortest) {
 			err = ErrFull
 			continue
 		}
@@ -301,6 +329,18 @@
 	}, nil
 }
 
+// shortestOutput returns the shortest time in which a usable target is expected to
+// generate the response.
+func (p *Pool) shortestOutput(now time.Duration, c Criteria) time.Duration {
+	least := time.Duration(math.MaxInt64)
+	for _, t := range p.byService[c.Service] {
+		if !t.Leaving && !contains(c.Exclude, t.ID) && t.usable(now) {
+			least = min(least, t.predictOutput(c.Events))
+		}
+	}
+	return least
+}
+
 // suspended returns the target whose suspension ends first among those where this front
 // has nothing in flight, or nil. It is used if no target is usable, because a dispatch that
 // may fail is better for the caller than a refusal.
@@ -338,6 +378,9 @@
 	// noRetryPenalty replaces failurePenalty for requests that can't be sent again, and
 	// so are lost if the target fails.
 	noRetryPenalty = 24.0
+	// outputWeight is the weight of the time in which the response is generated. It is far
+	// below 1, because goals concern the first byte.
+	outputWeight = 0.1
 	// crossDataCentreRTT is the round-trip time to another data centre.
 	crossDataCentreRTT = 2 * time.Millisecond
 )
@@ -351,7 +394,7 @@
 	}
 	if t.Engine {
 		// A larger batch slows down every token and leaves less room for long prompts.
-		s += float64(t.eventGap) * float64(t.running())
+		s += float64(t.eventGap)*float64(t.running()) + outputWeight*float64(t.predictOutput(c.Events))
 	} else {
 		s *= 1 + float64(t.running())
 	}
@@ -381,7 +424,12 @@
 	}
 }
 
-// ObserveEventGap records the mean gap between the events of a stream.
+// GapSample is the number of events of a stream after which its mean gap is to be recorded
+// with ObserveEventGap. It is small enough for a target that turns slow to be noticed
+// before its long responses end.
+const GapSample = 16
+
+// ObserveEventGap records the mean gap between successive events of a stream.
 func (p *Pool) ObserveEventGap(id string, d time.Duration) {
 	if t := p.targets[id]; t != nil {
 		t.observeEventGap(d)
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -220,3 +220,73 @@
 		}
 	}
 }
+
+// fastAndSlow returns a pool with the engines "fast" and "slow", whose events come 10 and
+// 40 ms apart.
+func fastAndSlow() *pool.Pool {
+	p := newPool(1, engine("fast"), engine("slow"))
+	p.SetOwnSlots(map[string]int{"fast": 12, "slow": 12})
+	for range 100 {
+		p.ObserveEventGap("fast", 10*time.Millisecond)
+		p.ObserveEventGap("slow", 40*time.Millisecond)
+	}
+	return p
+}
+
+// Guards against long answers beside short ones being cut off at their deadline: an answer
+// of 500 events takes 5 s at the fast engine and 20 s at the slow one, and its caller waits
+// for 15 s. It is never sent to the slow engine, where it would hold a slot in vain. A short
+// one is sent there if the fast engine is full.
+func TestLongAnswerGoesToFastEngine(t *testing.T) {
+	p := fastAndSlow()
+	long := pool.Criteria{Service: "llm", PromptTokens: 500, Events: 500, TimeLeft: 15 * time.Second}
+	for i := range 12 {
+		c, err := p.Choose(0, long)
+		if err != nil || c.ID != "fast" {
+			t.Fatalf("long answer %d: got target %q, error %v, want fast", i, c.ID, err)
+		}
+		p.Begin(0, c.ID, 500)
+	}
+	if c, err := p.Choose(0, long); !errors.Is(err, pool.ErrFull) {
+		t.Errorf("long answer with the fast engine full: got target %q, error %v, want ErrFull", c.ID, err)
+	}
+	short := long
+	short.Events = 20
+	if c, err := p.Choose(0, short); err != nil || c.ID != "slow" {
+		t.Errorf("short answer with the fast engine full: got target %q, error %v, want slow", c.ID, err)
+	}
+}
+
+// An answer that no engine is expected to finish in time goes to the fastest one, because
+// the expectation may be wrong.
+func TestHopelessAnswerGoesToFastestEngine(t *testing.T) {
+	p := fastAndSlow()
+	for range 10 {
+		if c, err := p.Choose(0, pool.Criteria{Service: "llm", Events: 3000, TimeLeft: 15 * time.Second}); err != nil || c.ID != "fast" {
+			t.Fatalf("got target %q, error %v, want fast", c.ID, err)
+		}
+	}
+}
+
+// Guards against long prompts making the running streams late: an engine that runs some gets
+// no prompt whose prefill would take more than half of the longest gap, unless gaps are
+// allowed.
+func TestLongPromptCausesNoGap(t *testing.T) {
+	p := newPool(1, engine("busy"))
+	p.SetOwnSlots(map[string]int{"busy": 12})
+	long := pool.Criteria{Service: "llm", PromptTokens: 10_000, MaxGap: 250 * time.Millisecond} // 208 ms at the initial estimate
+	if _, err := p.Choose(0, long); err != nil {
+		t.Fatalf("idle engine: %v", err)
+	}
+	p.Begin(0, "busy", 0)
+	if _, err := p.Choose(0, long); !errors.Is(err, pool.ErrFull) {
+		t.Errorf("engine that runs a stream: got error %v, want ErrFull", err)
+	}
+	long.AllowGaps = true
+	if _, err := p.Choose(0, long); err != nil {
+		t.Errorf("gaps allowed: %v", err)
+	}
+	if _, err := p.Choose(0, pool.Criteria{Service: "llm", PromptTokens: 2000, MaxGap: 250 * time.Millisecond}); err != nil {
+		t.Errorf("short prompt: %v", err)
+	}
+}
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -54,10 +54,14 @@
 	maxBackoff = 3 * time.Second
 	// failureTimeConstant is the time constant with which the failure rate decays.
 	failureTimeConstant = 4 * time.Second
-	// minFrontsToEnforce is the number of fronts from which the assignment of slots is
-	// enforced. Fewer fronts collide at a target so rarely that it would cost more than it
-	// saves, because it leaves slots idle.
-	minFrontsToEnforce = 8
+	// deadlineShare is the share of the time left within which a response must be expected
+	// to end, as its length is known only roughly.
+	deadlineShare = 0.8
+	// slowerFactor is how much longer than at the fastest target a response may take that
+	// is not expected to end in time anywhere.
+	slowerFactor = 1.3
+	// maxGapShare is the share of the longest gap that prefilling may cause.
+	maxGapShare = 0.5
 	// slowdownTimeConstant is the time constant with which a slowdown decays.
 	slowdownTimeConstant = 10 * time.Second
 	// plainSlotFactor is the number of requests that a plain service gets per slot: its
@@ -142,7 +146,7 @@
 // together add matches the free slots, so that they don't overload a target that has just
 // started or recovered. It also sets enforced for the given number of fronts.
 func (t *target) refillCredits(fronts int) {
-	t.enforced = fronts >= minFrontsToEnforce
+	t.enforced = fronts > 1
 	n := float64(t.freeSlots())
 	t.credits = min(n, t.credits+n/float64(max(1, fronts)))
 }
@@ -189,6 +193,25 @@
 	return time.Duration(t.currentSlowdown(now) * float64(t.estimator.predict(t.prefillTokens(prompt))))
 }
 
+// predictOutput returns the predicted time from the first to the last event of a response.
+func (t *target) predictOutput(events float64) time.Duration {
+	return time.Duration(events * float64(t.eventGap))
+}
+
+// suits reports whether an engine is expected to finish the response in time, or almost as
+// soon as the fastest one, which takes the time shortest for the output, and to prefill the
+// prompt without a long gap in the streams that it runs.
+func (t *target) suits(now time.Duration, c Criteria, shortest time.Duration) bool {
+	if !t.Engine {
+		return true
+	}
+	first, output := t.predictFirstByte(now, c.PromptTokens), t.predictOutput(c.Events)
+	if c.Events > 0 && c.TimeLeft > 0 && float64(first+output) > deadlineShare*float64(c.TimeLeft) && float64(output) > slowerFactor*float64(shortest) {
+		return false
+	}
+	return c.AllowGaps || c.MaxGap == 0 || t.running() == 0 || float64(first) <= maxGapShare*float64(c.MaxGap)
+}
+
 func (t *target) begin(now time.Duration, prompt int) {
 	if t.ownRunning >= t.ownSlots {
 		t.credits = max(0, t.credits-1)
