--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -4,12 +4,15 @@
 // # Usage
 //
 //	q := queue.New[*request]()
-//	h := q.Push(now, queue.SortKey{TierRank: 1, RouteRank: 2, Arrived: now}, r)
-//	if k, r, ok := q.Peek(now); ok && canSend(k) {
-//		q.Pop(now)
-//		send(r)
+//	w := q.Push(now, queue.SortKey{TierRank: 1, RouteRank: 2, Arrived: now, Hold: time.Second}, r)
+//	for _, h := range q.Heads(now) {
+//		if canSend(h.Key) {
+//			q.Take(now, h)
+//			send(h.Value)
+//			break
+//		}
 //	}
-//	q.Remove(h)
+//	q.Remove(w)
 //
 // # Order
 //
@@ -18,39 +21,26 @@
 // form a class. The next request comes from the class with the smallest served share
 // divided by its weight. The served share is the part of the class's requests that were
 // popped, measured over a few seconds. Route rank 0 has the weight 1, rank 1
-// SecondWeight, and each further rank WeightRatio times the weight of the one before.
-// In a mild overload the most urgent class is therefore served completely, and the others
-// get a part of what they need. However deep the overload is, the served share of a class
-// that has queued requests doesn't fall below its weight times that of the most urgent
-// class: no class starves, and no class is served a larger share than a more urgent one.
+// SecondWeight, and each further rank WeightRatio times the weight of the one before. A
+// class whose requests occupy their slots for longer than those of a more urgent one has a
+// smaller weight. In a mild overload the most urgent class is therefore served completely,
+// and the others get a part of what they need; a class of long requests is the first to
+// yield, as each of them takes the place of several short ones. However deep the overload
+// is, the served share of a class that has queued requests doesn't stay below a quarter of
+// that of all requests: such a class goes first.
 //
 // Within a class, requests that can still meet their latency goal come before late
-// ones, and then the order is first in, first out.
+// ones. Among those that can, short requests come before long ones, but long ones are
+// served at least a bit more than half as often. Requests of unknown length and late ones
+// are first in, first out.
 package queue
 
 import (
-	"math"
 	"time"
 
 	"kingcupstand/core/heap"
 )
 
-// Weights of the classes of a tier.
-const (
-	// SecondWeight is the weight of the second class; the first has the weight 1. It is
-	// a little more than 1/4, because a class counts as starved if its served share is
-	// less than a quarter of the share that all requests together are served.
-	SecondWeight = 0.3
-	// WeightRatio is the weight of each further class relative to the one before. It is
-	// below 1 only to cover the error of shares that are measured over a few seconds, so
-	// that no class is served a larger share than a more urgent one.
-	WeightRatio = 0.85
-)
-
-// rateTimeConstant is the time constant with which the counts of requests decay. It is
-// about the length of a burst, which lasts a few seconds.
-const rateTimeConstant = 4 * time.Second
-
 // defaultWait is the queue wait that is expected for a class while fewer than one of its
 // requests per second is popped.
 const defaultWait = time.Second
@@ -68,15 +58,19 @@
 	Late bool
 	// Arrived is the time of arrival, on the clock of the now arguments.
 	Arrived time.Duration
+	// Hold is how long the request is expected to occupy its slot; 0 if it is unknown.
+	Hold time.Duration
 	// sequence is the order of the calls of Push; it breaks ties.
 	sequence uint64
 }
 
-// before reports whether k comes before o within a class.
+// before reports whether k comes before o within a lane.
 func (k SortKey) before(o SortKey) bool {
 	switch {
 	case k.Late != o.Late:
 		return o.Late
+	case !k.Late && k.Hold != o.Hold:
+		return k.Hold < o.Hold
 	case k.Arrived != o.Arrived:
 		return k.Arrived < o.Arrived
 	default:
@@ -84,37 +78,10 @@
 	}
 }
 
-type item[T any] struct {
-	key   SortKey
-	value T
-}
-
-type classKey struct{ tierRank, routeRank int }
-
-// class holds the requests of one tier rank and route rank.
-type class[T any] struct {
-	key    classKey
-	heap   *heap.Heap[item[T]]
-	pushed decayingCount
-	popped decayingCount
-}
-
-// decayingCount counts events with exponential decay. Divided by rateTimeConstant, the
-// count is the recent rate of the events.
-type decayingCount struct {
-	value   float64
-	updated time.Duration
-}
-
-func (c *decayingCount) get(now time.Duration) float64 {
-	return c.value * math.Exp(-float64(now-c.updated)/float64(rateTimeConstant))
-}
-
-func (c *decayingCount) add(now time.Duration) { c.value, c.updated = c.get(now)+1, now }
-
 // Handle is the handle of a queued request.
 type Handle[T any] struct {
 	class *class[T]
+	lane  *lane[T]
 	node  *heap.Node[item[T]]
 	key   SortKey
 }
@@ -140,7 +107,7 @@
 func (q *Queue[T]) Len() int {
 	n := 0
 	for _, c := range q.classes {
-		n += c.heap.Len()
+		n += c.len()
 	}
 	return n
 }
@@ -150,81 +117,29 @@
 	g := classKey{k.TierRank, k.RouteRank}
 	c := q.classes[g]
 	if c == nil {
-		c = &class[T]{key: g, heap: heap.New(func(a, b item[T]) bool { return a.key.before(b.key) })}
+		c = newClass[T](g)
 		q.classes[g] = c
 	}
 	q.sequence++
 	k.sequence = q.sequence
-	c.pushed.add(now)
-	return &Handle[T]{class: c, node: c.heap.Push(item[T]{key: k, value: v}), key: k}
+	l := c.lane(k.Hold)
+	l.pushed.add(now)
+	return &Handle[T]{class: c, lane: l, node: l.heap.Push(item[T]{key: k, value: v}), key: k}
 }
 
 // Remove removes a request. It reports false if the request is not queued.
-func (q *Queue[T]) Remove(h *Handle[T]) bool { return h.class.heap.Remove(h.node) }
-
-// next returns the class of the next request, or nil if the queue is empty.
-func (q *Queue[T]) next(now time.Duration) *class[T] {
-	var best *class[T]
-	for _, c := range q.classes {
-		if c.heap.Len() > 0 && (best == nil || q.less(now, c, best)) {
-			best = c
-		}
-	}
-	return best
-}
-
-// less reports whether the first request of a comes before the first of b.
-func (q *Queue[T]) less(now time.Duration, a, b *class[T]) bool {
-	if a.key.tierRank != b.key.tierRank {
-		return a.key.tierRank < b.key.tierRank
-	}
-	s, t := a.weightedShare(now), b.weightedShare(now)
-	if s != t {
-		return s < t
-	}
-	return a.key.routeRank < b.key.routeRank
-}
-
-// weightedShare returns the served share of the class divided by its weight.
-func (c *class[T]) weightedShare(now time.Duration) float64 {
-	w := 1.0
-	if c.key.routeRank > 0 {
-		w = SecondWeight * math.Pow(WeightRatio, float64(c.key.routeRank-1))
-	}
-	return c.popped.get(now) / max(1, c.pushed.get(now)) / w
-}
-
-// Peek returns the next request without removing it. It reports false if the queue is
-// empty.
-func (q *Queue[T]) Peek(now time.Duration) (k SortKey, v T, ok bool) {
-	c := q.next(now)
-	if c == nil {
-		return k, v, false
-	}
-	i, _ := c.heap.Peek()
-	return i.key, i.value, true
-}
-
-// Pop removes and returns the next request, which is the one that Peek returns for the
-// same time. It reports false if the queue is empty.
-func (q *Queue[T]) Pop(now time.Duration) (v T, ok bool) {
-	c := q.next(now)
-	if c == nil {
-		return v, false
-	}
-	i, _ := c.heap.Pop()
-	c.popped.add(now)
-	return i.value, true
-}
+func (q *Queue[T]) Remove(h *Handle[T]) bool { return h.lane.heap.Remove(h.node) }
 
 // Ahead returns the number of requests of the same class that come before h.
 func (q *Queue[T]) Ahead(h *Handle[T]) int {
-	n := 0
-	h.class.heap.Each(func(i item[T]) {
-		if i.key.before(h.key) {
-			n++
-		}
-	})
+	n := h.lane.ahead(h.key)
+	if h.lane == &h.class.long {
+		h.class.short.heap.Each(func(i item[T]) {
+			if !i.key.Late || h.key.Late {
+				n++
+			}
+		})
+	}
 	return n
 }
 
@@ -237,37 +152,68 @@
 }
 
 // ExpectedWait returns how long a request is expected to stay queued, where slots is the
-// number of slots that serve this queue. It is the shorter of two estimates: by the recent
-// rate of pops from the class, and by the rate at which the slots become free. The first
-// estimate alone would be too long at the start of a burst, when the class was popped
-// rarely because it had few requests.
+// number of slots that serve this queue. The requests that come before it are those ahead
+// of it in its class and all of more urgent classes. It is the shorter of two estimates: by
+// the rate of pops, and by the rate at which the slots become free. The first estimate
+// alone would be too long at the start of a burst, when few requests were popped because
+// there were few.
 func (q *Queue[T]) ExpectedWait(now time.Duration, h *Handle[T], slots float64) time.Duration {
+	ahead := float64(q.Ahead(h) + 1)
+	var popped, urgent float64 // decayed counts of all pops, and of pushes to more urgent classes
+	for k, c := range q.classes {
+		popped += c.popped(now)
+		if k.moreUrgent(h.class.key) {
+			urgent += c.pushed(now)
+			ahead += float64(c.len())
+		}
+	}
 	w := defaultWait
-	if v := h.class.popped.get(now) / rateTimeConstant.Seconds(); v >= 1 {
-		w = time.Duration(float64(q.Ahead(h)+1) / v * float64(time.Second))
+	// A request can use all pops that more urgent classes leave, and its lane at least as
+	// many as it had.
+	if v := max(h.lane.popped.get(now), popped-urgent) / rateTimeConstant.Seconds(); v >= 1 {
+		w = time.Duration(ahead / v * float64(time.Second))
 	}
 	if q.holdTime > 0 && slots > 0 {
-		w = min(w, time.Duration(float64(q.Len())*float64(q.holdTime)/slots))
+		w = min(w, time.Duration(ahead*float64(q.holdTime)/slots))
 	}
 	return w
 }
 
+// moreUrgent reports whether the class k is of a higher tier than o, or more urgent
+// within the same tier.
+func (k classKey) moreUrgent(o classKey) bool {
+	if k.tierRank != o.tierRank {
+		return k.tierRank < o.tierRank
+	}
+	return k.routeRank < o.routeRank
+}
+
 // Priority is the part of a SortKey by which requests of different fronts are ordered.
 type Priority struct {
-	TierRank int
-	Late     bool
+	TierRank  int
+	Late      bool
+	RouteRank int
 }
 
 // Before reports whether p is the higher priority.
 func (p Priority) Before(o Priority) bool {
-	return p.TierRank < o.TierRank || (p.TierRank == o.TierRank && !p.Late && o.Late)
+	switch {
+	case p.TierRank != o.TierRank:
+		return p.TierRank < o.TierRank
+	case p.Late != o.Late:
+		return o.Late
+	default:
+		return p.RouteRank < o.RouteRank
+	}
 }
 
 // CountByPriority returns the number of queued requests of each priority.
 func (q *Queue[T]) CountByPriority() map[Priority]int {
 	m := map[Priority]int{}
 	for k, c := range q.classes {
-		c.heap.Each(func(i item[T]) { m[Priority{k.tierRank, i.key.Late}]++ })
+		for _, l := range []*lane[T]{&c.short, &c.long} {
+			l.heap.Each(func(i item[T]) { m[Priority{k.tierRank, i.key.Late, k.routeRank}]++ })
+		}
 	}
 	return m
 }
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -125,3 +125,90 @@
 		t.Errorf("expected wait with 0.1 slots: got %v, want at least 1s", w)
 	}
 }
+
+// overload pushes requests of several kinds for a minute, one kind after the other in each
+// step of 10 ms, pops one per three steps, and removes those that waited for 300 ms. It
+// returns the served share of each kind.
+func overload(kinds []queue.SortKey) []float64 {
+	q := queue.New[int]()
+	pushed, served := make([]float64, len(kinds)), make([]float64, len(kinds))
+	var queued []*queue.Handle[int]
+	for i := range 6000 {
+		now := time.Duration(i) * 10 * time.Millisecond
+		n := i % len(kinds)
+		k := kinds[n]
+		k.Arrived = now
+		pushed[n]++
+		queued = append(queued, q.Push(now, k, n))
+		if len(queued) > 30 {
+			q.Remove(queued[0])
+			queued = queued[1:]
+		}
+		if i%3 == 0 {
+			if v, ok := q.Pop(now); ok {
+				served[v]++
+			}
+		}
+	}
+	for i := range served {
+		served[i] /= pushed[i]
+	}
+	return served
+}
+
+// Guards against long answers beside short ones taking the slots of more urgent short
+// requests: the answers hold their slot eight times as long, so they are the first to
+// yield. They are not starved.
+func TestClassOfLongAnswersYields(t *testing.T) {
+	s := overload([]queue.SortKey{
+		{RouteRank: 0, Hold: 500 * time.Millisecond},
+		{RouteRank: 1, Hold: 250 * time.Millisecond},
+		{RouteRank: 2, Hold: 2 * time.Second},
+	})
+	if all := (s[0] + s[1] + s[2]) / 3; s[2] < all/4 {
+		t.Errorf("served share of long answers %.3f, of all %.3f", s[2], all)
+	}
+	// A third of the load is served. With equal weights the short requests would get about
+	// as much as the answers.
+	if s[1] < 2*s[2] || s[0] < s[1] {
+		t.Errorf("served shares %.3f, want at least twice as much for the second as for the third", s)
+	}
+}
+
+// Guards against a few long answers taking the slots of many short ones of their class. The
+// long ones are still served more than half as often.
+func TestShortAnswersGoFirstWithinClass(t *testing.T) {
+	s := overload([]queue.SortKey{{Hold: 300 * time.Millisecond}, {Hold: 300 * time.Millisecond}, {Hold: 9 * time.Second}})
+	if short := (s[0] + s[1]) / 2; s[2] > 0.75*short || s[2] < 0.5*short {
+		t.Errorf("served share of long answers %.3f, of short ones %.3f, want a ratio from 0.5 to 0.75", s[2], short)
+	}
+}
+
+// Guards against a burst of the most urgent class being refused while less urgent requests
+// are served: the few pops of the class before the burst say nothing of its wait, since it
+// gets all pops of the queue.
+func TestUrgentBurstExpectsAllPops(t *testing.T) {
+	q := queue.New[int]()
+	now := time.Duration(0)
+	for i := range 400 { // 40 pops a second, 2 of them of the urgent class
+		now = time.Duration(i) * 25 * time.Millisecond
+		k := queue.SortKey{RouteRank: 1, Arrived: now}
+		if i%20 == 0 {
+			k.RouteRank = 0
+		}
+		q.Push(now, k, i)
+		q.Pop(now)
+		q.AddHold(time.Second)
+	}
+	var last *queue.Handle[int]
+	for i := range 4 {
+		last = q.Push(now, queue.SortKey{Arrived: now}, i)
+	}
+	if w := q.ExpectedWait(now, last, 1); w > 150*time.Millisecond {
+		t.Errorf("expected wait of the fourth urgent request: got %v, want about 100ms", w)
+	}
+	less := q.Push(now, queue.SortKey{RouteRank: 1, Arrived: now}, 5)
+	if w := q.ExpectedWait(now, less, 1); w < 110*time.Millisecond {
+		t.Errorf("expected wait of a less urgent request behind them: got %v, want more than 110ms", w)
+	}
+}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -73,6 +73,10 @@
 // fronts the request would have been dispatched by then.
 const oversubscribeAfter = 60 * time.Millisecond
 
+// allowGapsAfter is the share of its maximum wait that a request waits for a target where
+// its prompt would not cause a long gap in running streams. After that any target will do.
+const allowGapsAfter = 0.5
+
 // Request holds the scheduling attributes of a request.
 type Request struct {
 	Criteria pool.Criteria
@@ -82,6 +86,8 @@
 	RouteRank int
 	// Late is true if the request can no longer meet its latency goal; see MaxWait.
 	Late bool
+	// Hold is how long the request is expected to occupy its slot; 0 if it is unknown.
+	Hold time.Duration
 	// MaxWait is the longest acceptable time in the queue, and TimeLeft the time until
 	// the caller's deadline for the complete response.
 	MaxWait  time.Duration
@@ -178,7 +184,7 @@
 	q := s.queue(r.Criteria.Service)
 	q.demand, q.updated = q.demandAt(now)+1/demandTimeConstant.Seconds(), now
 	w := &Waiter[T]{Value: v, request: r, enqueued: now}
-	w.handle = q.waiters.Push(now, queue.SortKey{TierRank: r.TierRank, RouteRank: r.RouteRank, Late: r.Late, Arrived: now}, w)
+	w.handle = q.waiters.Push(now, queue.SortKey{TierRank: r.TierRank, RouteRank: r.RouteRank, Late: r.Late, Hold: r.Hold, Arrived: now}, w)
 	return w
 }
 
@@ -213,23 +219,41 @@
 	return f
 }
 
-// Next dequeues the first request of a service and chooses its target. It reports
-// false if the queue is empty or there is no slot for its first request.
+// Next dequeues the first request of a service that a target can take, and chooses the
+// target. It reports false if there is none. A request may have to wait for requests at
+// peers, or for a certain target, for example a fast one for a long response. Others of its
+// tier then go past it, but none of a lower tier.
 func (s *Scheduler[T]) Next(now time.Duration, service string) (Grant[T], bool) {
 	q := s.queue(service).waiters
-	k, w, ok := q.Peek(now)
-	if !ok || !s.mayDispatch(now, service, queue.Priority{TierRank: k.TierRank, Late: k.Late}) {
-		return Grant[T]{}, false
-	}
-	r := w.request.Criteria
-	r.Oversubscribe = w.request.RouteRank == 0 && !w.request.Late && now-w.enqueued >= oversubscribeAfter
-	c, err := s.pool.Choose(now, r)
-	if err != nil {
-		return Grant[T]{}, false // full or without targets; Next is called again after the next event
+	hs := q.Heads(now)
+	for _, h := range hs {
+		if h.Key.TierRank > hs[0].Key.TierRank {
+			break
+		}
+		if !s.mayDispatch(now, service, h.Priority) {
+			continue
+		}
+		w := h.Value
+		c, err := s.pool.Choose(now, s.criteria(now, w))
+		if err != nil {
+			continue // full or without targets; Next is called again after the next event
+		}
+		q.Take(now, h)
+		s.pool.Begin(now, c.ID, w.request.Criteria.PromptTokens)
+		return Grant[T]{Waiter: w, Choice: c, Waited: now - w.enqueued}, true
 	}
-	q.Pop(now)
-	s.pool.Begin(now, c.ID, w.request.Criteria.PromptTokens)
-	return Grant[T]{Waiter: w, Choice: c, Waited: now - w.enqueued}, true
+	return Grant[T]{}, false
+}
+
+// criteria returns the criteria by which the target is chosen, which depend on how long
+// the request has waited.
+func (s *Scheduler[T]) criteria(now time.Duration, w *Waiter[T]) pool.Criteria {
+	waited := now - w.enqueued
+	c := w.request.Criteria
+	c.TimeLeft -= waited
+	c.Oversubscribe = w.request.RouteRank == 0 && !w.request.Late && waited >= oversubscribeAfter
+	c.AllowGaps = waited >= time.Duration(allowGapsAfter*float64(w.request.MaxWait))
+	return c
 }
 
 // mayDispatch reports whether a free slot remains for a request of priority p once all
--- a/core/sched/wait.go
+++ b/core/sched/wait.go
@@ -11,9 +11,9 @@
 	// unless it is late: the fronts' views of the load differ by about one heartbeat
 	// interval.
 	minWaitShare = 1.0 / 8
-	// lateWaitShare is the share of the time left that a late request may wait; most
-	// of the time is kept for the response.
-	lateWaitShare = 1.0 / 150
+	// lateWaitShare is the share of the time left that a late request may wait. Its caller
+	// has usually been refused before and doesn't come back a third time.
+	lateWaitShare = 0.7
 )
 
 // Limits of the delay before a refused caller should retry.
@@ -28,7 +28,7 @@
 
 // MaxWait returns how long a request may stay queued. A request that can still meet its
 // latency goal may wait as long as its first byte is expected within the goal. For a
-// late request the wait is a small share of left, the time until the caller's deadline.
+// late request the wait is a share of left, the time until the caller gives up.
 // Used is the part of the goal that has passed already or will pass between dispatch
 // and the first byte. The result late is true if the request can no longer meet its goal.
 func MaxWait(goal, used, left time.Duration) (wait time.Duration, late bool) {
--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -143,7 +143,7 @@
 	}
 	for k, n := range d.Waiting {
 		m.Waits = append(m.Waits, &wire.RankWait{
-			Service: k.Service, Rank: uint32(k.Priority.TierRank), Late: k.Priority.Late, Count: uint32(n),
+			Service: k.Service, Rank: uint32(k.Priority.TierRank), RouteRank: uint32(k.Priority.RouteRank), Late: k.Priority.Late, Count: uint32(n),
 		})
 	}
 	f.gossip.Send(m, s.peers.Recipients(s.random))
@@ -181,7 +181,8 @@
 	s.quota.Observe(now, m.Peer, m.Incarnation, m.Sequence <= newPeerHeartbeats, ws)
 	d := sched.Report{Waiting: map[sched.WaitKey]int{}, Demand: map[uint32]float64{}}
 	for _, w := range m.Waits {
-		d.Waiting[sched.WaitKey{Service: w.Service, Priority: queue.Priority{TierRank: int(w.Rank), Late: w.Late}}] = int(w.Count)
+		p := queue.Priority{TierRank: int(w.Rank), Late: w.Late, RouteRank: int(w.RouteRank)}
+		d.Waiting[sched.WaitKey{Service: w.Service, Priority: p}] = int(w.Count)
 	}
 	for _, v := range m.Demands {
 		d.Demand[v.Service] = v.PerSecond
