--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -22,8 +22,10 @@
 	emitted  int // output tokens
 	started  bool
 	canceled bool
-	// onFirstToken is called with the first token, onEnd at the end of the response.
+	// onFirstToken is called with the first token, onEnd at the end of the response. OnToken,
+	// if it is set, is called with the number of each token.
 	onFirstToken, onEnd func()
+	onToken             func(n int)
 }
 
 // engine simulates a model engine with continuous batching and a prefix cache. It
@@ -129,6 +131,9 @@
 		t.started = true
 		t.onFirstToken()
 	}
+	if t.onToken != nil {
+		t.onToken(t.emitted)
+	}
 	return left
 }
 
--- a/internal/bench/front.go
+++ b/internal/bench/front.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"kingcupstand/core/length"
 	"kingcupstand/core/pool"
 	"kingcupstand/core/sched"
 )
@@ -29,6 +30,8 @@
 	// firstByteFactor times its expected time if that is longer.
 	firstByteTimeout = 700 * time.Millisecond
 	firstByteFactor  = 5
+	// callerPatience is how long callers wait for the first token of an attempt.
+	callerPatience = 2 * time.Second
 	// service is the only service of a load pattern. All engines serve it.
 	service = "model"
 )
@@ -57,6 +60,8 @@
 	name  string
 	pool  *pool.Pool
 	sched *sched.Scheduler[*frontAttempt]
+	// length estimates the length of responses; each token is an event.
+	length *length.Estimator
 }
 
 // frontAttempt is one attempt of a caller at a front.
@@ -64,6 +69,8 @@
 	*caller
 	front *front
 	tried []string // targets that failed, which are excluded
+	// submitted is when the caller sent this attempt.
+	submitted time.Duration
 	// granted is true once the request has been granted a slot.
 	granted bool
 }
@@ -122,7 +129,7 @@
 // newFront returns front i with all engines as its targets.
 func (w *patternRun) newFront(i int) *front {
 	r := rand.New(rand.NewPCG(uint64(i), 7))
-	g := &front{run: w, name: fmt.Sprintf("front-%d", i), pool: pool.New("", r)}
+	g := &front{run: w, name: fmt.Sprintf("front-%d", i), pool: pool.New("", r), length: length.New()}
 	g.sched = sched.New[*frontAttempt](g.pool, r)
 	var ts []pool.Target
 	for i, e := range w.engines {
@@ -134,7 +141,7 @@
 
 // arrive submits a caller's attempt to its front.
 func (w *patternRun) arrive(c *caller) {
-	v := &frontAttempt{caller: c, front: w.fronts[c.entry]}
+	v := &frontAttempt{caller: c, front: w.fronts[c.entry], submitted: w.now}
 	if w.policy == Fronts || w.policy == Unassigned {
 		v.front.enqueue(v)
 		return
@@ -157,8 +164,8 @@
 
 // execute runs a request at engine i. It calls began with the time from dispatch to the
 // first token, and ended at the end of the response or when the caller's time limit has
-// passed and the request is canceled.
-func (w *patternRun) execute(v *frontAttempt, i int, began func(time.Duration), ended func()) {
+// passed and the request is canceled. The returned task has not been submitted yet.
+func (w *patternRun) execute(v *frontAttempt, i int, began func(time.Duration), ended func()) *task {
 	e, sent := w.engines[i], w.now
 	t := &task{r: v.request}
 	t.onFirstToken = func() {
@@ -176,6 +183,7 @@
 			ended()
 		}
 	})
+	return t
 }
 
 // report sends the engines' loads to the fronts of a baseline.
@@ -204,12 +212,16 @@
 // it is refused if its maximum wait passes without a slot.
 func (g *front) enqueue(v *frontAttempt) {
 	w := g.run
-	used := w.now - v.arrived + g.pool.ExpectedFirstByte(service, v.prompt)
+	first := g.pool.ExpectedFirstByte(service, v.prompt)
 	left := v.arrived + v.kind.limit - w.now
-	p, late := sched.MaxWait(v.kind.goal, used, left)
+	p, late := sched.MaxWait(v.kind.goal, w.now-v.arrived+first, min(left, v.submitted+callerPatience-first-w.now))
+	n := g.length.Expect(v.kind.name, v.hint)
 	t := g.sched.Enqueue(w.now, sched.Request{
-		Criteria:  pool.Criteria{Service: service, PromptTokens: v.prompt, Exclude: v.tried},
-		RouteRank: v.kind.routeRank, Late: late, MaxWait: p, TimeLeft: left,
+		Criteria: pool.Criteria{
+			Service: service, PromptTokens: v.prompt, Exclude: v.tried,
+			Events: n, TimeLeft: left, MaxGap: v.kind.gap,
+		},
+		RouteRank: v.kind.routeRank, Late: late, Hold: g.pool.ExpectedHold(service, v.prompt, n), MaxWait: p, TimeLeft: left,
 	}, v)
 	v.granted = false
 	g.dispatch()
@@ -269,19 +281,28 @@
 		g.sched.AddHold(service, w.now-sent)
 		g.dispatch()
 	}
-	w.execute(v, i, func(d time.Duration) {
+	first := w.now
+	t := w.execute(v, i, func(d time.Duration) {
 		if over {
 			return
 		}
+		first = w.now
 		g.pool.ObserveFirstByte(w.now, c.ID, prompt, c.PrefillTokens, d)
 		prompt = 0
 	}, func() {
 		if v.done > 0 {
+			g.length.Observe(v.kind.name, v.hint, v.output)
 			end(pool.Good)
 		} else {
 			end(pool.Neutral)
 		}
 	})
+	t.onToken = func(n int) {
+		if n%pool.GapSample == 0 {
+			g.pool.ObserveEventGap(c.ID, (w.now-first)/pool.GapSample)
+			first = w.now
+		}
+	}
 	w.after(max(firstByteTimeout, firstByteFactor*c.ExpectedFirstByte), func() {
 		if v.firstToken > 0 || over || !w.engines[i].crashed {
 			return
--- a/internal/bench/pattern.go
+++ b/internal/bench/pattern.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -29,13 +30,18 @@
 
 // requestKind is a kind of request. Its requests have half to twice the given tokens.
 type requestKind struct {
+	name string
 	// routeRank is its rank among the kinds of its tier.
 	routeRank int
 	goal      time.Duration // time to the first byte that callers expect
 	limit     time.Duration // time to the end of the response after which callers give up
-	rate      float64       // requests per second outside the burst
-	prompt    int           // typical tokens
-	output    int           // typical tokens
+	gap       time.Duration // longest gap between tokens that callers expect; 0 for none
+	// spread is the standard deviation of the logarithm of the output; 0 for half to twice
+	// the typical number of tokens.
+	spread float64
+	rate   float64 // requests per second outside the burst
+	prompt int     // typical tokens
+	output int     // typical tokens
 	// worth is the value of a response whose first byte arrives within the goal,
 	// lateWorth that of a later one within the limit.
 	worth, lateWorth float64
@@ -45,6 +51,8 @@
 type caller struct {
 	*request
 	kind *requestKind
+	// hint is the caller's estimate of the number of output tokens.
+	hint int
 	// arrived is the time of its first attempt.
 	arrived time.Duration
 	refused int
@@ -69,9 +77,9 @@
 	// Kinds of requests as both operators described them: few long requests of high
 	// value, many of middle size, and short responses to prompts of middle size.
 	kinds := []requestKind{
-		{routeRank: 0, goal: 800 * time.Millisecond, limit: 15 * time.Second, rate: 24, prompt: 6600, output: 385, worth: 10, lateWorth: 3},
-		{routeRank: 1, goal: 400 * time.Millisecond, limit: 12 * time.Second, rate: 66, prompt: 640, output: 294, worth: 1.75, lateWorth: 0.5},
-		{routeRank: 2, goal: 400 * time.Millisecond, limit: 3 * time.Second, rate: 36, prompt: 1800, output: 21, worth: 0.5, lateWorth: 0.15},
+		{name: "long", routeRank: 0, goal: 800 * time.Millisecond, limit: 15 * time.Second, rate: 24, prompt: 6600, output: 385, worth: 10, lateWorth: 3},
+		{name: "middle", routeRank: 1, goal: 400 * time.Millisecond, limit: 12 * time.Second, rate: 66, prompt: 640, output: 294, worth: 1.75, lateWorth: 0.5},
+		{name: "short", routeRank: 2, goal: 400 * time.Millisecond, limit: 3 * time.Second, rate: 36, prompt: 1800, output: 21, worth: 0.5, lateWorth: 0.15},
 	}
 	r := Pattern{
 		fronts: 12, engines: mixedEngines(12), kinds: kinds, length: 30 * time.Second,
@@ -89,6 +97,24 @@
 	add("long-overload", func(*Pattern) {})
 	add("uneven-connections", func(r *Pattern) { r.uneven = true })
 	add("dark-engines-in-a-rush", func(r *Pattern) { r.crashAt = 12 * time.Second })
+	add("long-answers-beside-short", func(r *Pattern) {
+		// Urgent and less urgent requests with short responses, beside answers whose length
+		// varies a hundredfold and that hold most of the slots.
+		r.kinds = []requestKind{
+			{name: "contract", routeRank: 0, goal: 600 * time.Millisecond, limit: 6 * time.Second, gap: 250 * time.Millisecond, rate: 21, prompt: 2900, output: 28, spread: 1, worth: 6.6, lateWorth: 2},
+			{name: "invoice", routeRank: 1, goal: 500 * time.Millisecond, limit: 4 * time.Second, gap: 250 * time.Millisecond, rate: 28, prompt: 1800, output: 14, spread: 1, worth: 2, lateWorth: 0.6},
+			{name: "answer", routeRank: 2, goal: 400 * time.Millisecond, limit: 15 * time.Second, gap: 250 * time.Millisecond, rate: 23, prompt: 540, output: 170, spread: 1.2, worth: 0.43, lateWorth: 0.13},
+		}
+		r.fronts, r.engines = 4, nil
+		for i := range 9 {
+			d := 3800 * time.Microsecond
+			if i%3 > 0 {
+				d = 10800 * time.Microsecond
+			}
+			r.engines = append(r.engines, engineSpec{step: d, prefill: 272, batch: 7, cache: 12_000})
+		}
+		r.burstFrom, r.burstTo, r.burstFactor = 8*time.Second, 13*time.Second, 1.8
+	})
 	add("engines-turn-slow-in-a-rush", func(r *Pattern) { r.slowAt = 12 * time.Second })
 	return rs
 }
@@ -110,12 +136,19 @@
 	return l
 }
 
+const (
+	// hintSpread is the standard deviation of the logarithm of hints.
+	hintSpread = 0.5
+	// maxSpread is the largest output, relative to the typical one.
+	maxSpread = 20
+)
+
 // callers returns the callers of a run by time of arrival.
 func (r Pattern) callers(seed uint64) []*caller {
 	var l []*caller
 	for i := range r.kinds {
 		k := &r.kinds[i]
-		g := rand.New(rand.NewPCG(seed, uint64(i)))
+		g, lengths := rand.New(rand.NewPCG(seed, uint64(i))), rand.New(rand.NewPCG(seed, uint64(100+i)))
 		for at := time.Duration(0); ; {
 			v := k.rate
 			if at >= r.burstFrom && at < r.burstTo {
@@ -126,10 +159,16 @@
 				break
 			}
 			f := 0.5 + 1.5*g.Float64()*g.Float64() // 0.5 to 2; below 1 for most requests
-			l = append(l, &caller{
+			n := max(1, int(f*float64(k.output)))
+			c := &caller{
 				kind: k, arrived: at,
-				request: &request{at: at, entry: r.front(g), prompt: int(f * float64(k.prompt)), output: max(1, int(f*float64(k.output)))},
-			})
+				request: &request{at: at, entry: r.front(g), prompt: int(f * float64(k.prompt)), output: n},
+			}
+			if k.spread > 0 {
+				c.output = max(1, int(float64(k.output)*min(maxSpread, math.Exp(k.spread*lengths.NormFloat64()))))
+			}
+			c.hint = max(1, int(float64(c.output)*math.Exp(hintSpread*lengths.NormFloat64())))
+			l = append(l, c)
 		}
 	}
 	slices.SortStableFunc(l, func(a, b *caller) int { return int(a.arrived - b.arrived) })
--- a/io/front/codec.go
+++ b/io/front/codec.go
@@ -22,6 +22,9 @@
 	// output tokens; both are 0 without HasTokens.
 	PromptTokens int
 	OutputTokens int
+	// OutputHint is the caller's estimate of the number of output tokens; 0 if there is
+	// none.
+	OutputHint int
 	// LastEventID is the id of the last event that the caller has received from a stream
 	// that it resumes; "" for a new stream.
 	LastEventID string
--- a/io/front/queue.go
+++ b/io/front/queue.go
@@ -40,7 +40,7 @@
 	f := q.front
 	p := &pending{granted: make(chan grant, 1)}
 	var waiter *sched.Waiter[*pending]
-	a := sched.Request{Criteria: w, TierRank: q.tierRank, RouteRank: q.route.Rank, Late: q.late, MaxWait: limit, TimeLeft: time.Until(q.deadline)}
+	a := sched.Request{Criteria: w, TierRank: q.tierRank, RouteRank: q.route.Rank, Late: q.late, Hold: q.expectedHold, MaxWait: limit, TimeLeft: time.Until(q.deadline)}
 	refused := actor.Ask(f.loop, func(now time.Duration, s *state) *grant {
 		waiter = s.sched.Enqueue(now, a, p)
 		s.changed = true
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -77,6 +77,11 @@
 	// the response.
 	priorTime         time.Duration
 	expectedFirstByte time.Duration
+	// expectedEvents is the expected number of events of a streamed response, and
+	// expectedHold the time for which the request is expected to occupy its slot; both are
+	// 0 if they are unknown.
+	expectedEvents float64
+	expectedHold   time.Duration
 
 	// tried are the targets that the request was sent to, and excluded those that it may
 	// not be dispatched to again.
@@ -263,6 +268,12 @@
 		q.summary.peers, _ = s.peers.Count(now)
 		q.priorTime = s.spent.Estimate(now, q.route.Name, q.call.Timeout)
 		q.expectedFirstByte = s.pool.ExpectedFirstByte(q.service, q.call.PromptTokens)
+		if q.route.Kind == plan.Stream {
+			q.expectedEvents = s.length.Expect(q.route.Name, q.call.OutputHint)
+		}
+		if q.expectedEvents > 0 {
+			q.expectedHold = s.pool.ExpectedHold(q.service, q.call.PromptTokens, q.expectedEvents)
+		}
 		if retryAfter, ok = s.quota.Take(now, n, q.cost); !ok {
 			a := s.quota.State(now, n)
 			q.front.telem.Scope.Tagged(map[string]string{"workspace": n}).Gauge("allowance_left").Update(a.Level)
@@ -288,12 +299,7 @@
 func (q *request) loop(ctx context.Context) {
 	for {
 		w := q.maxWait()
-		g := q.acquire(ctx, pool.Criteria{
-			Service:      q.service,
-			PromptTokens: q.call.PromptTokens,
-			Exclude:      q.excluded,
-			NoRetry:      !q.route.Repeatable(),
-		}, w)
+		g := q.acquire(ctx, q.criteria(), w)
 		q.summary.waited += g.waited
 		if g.err != nil {
 			q.summary.ahead, q.summary.expected = g.refusal.Ahead, g.refusal.ExpectedWait
@@ -321,6 +327,23 @@
 	}
 }
 
+// criteria returns the criteria for the choice of a target.
+func (q *request) criteria() pool.Criteria {
+	c := pool.Criteria{
+		Service:      q.service,
+		PromptTokens: q.call.PromptTokens,
+		Events:       q.expectedEvents,
+		TimeLeft:     time.Until(q.deadline),
+		MaxGap:       q.route.Gap,
+		Exclude:      q.excluded,
+		NoRetry:      !q.route.Repeatable(),
+	}
+	if q.stream != nil {
+		c.Events = max(0, c.Events-float64(q.stream.events))
+	}
+	return c
+}
+
 // maxWait returns how long the request may wait in the queue.
 func (q *request) maxWait() time.Duration {
 	if q.stream != nil {
@@ -331,8 +354,12 @@
 	if g == 0 {
 		g = defaultGoal
 	}
+	left := time.Until(q.deadline)
+	if q.route.Kind == plan.Stream {
+		left = min(left, callerStallTimeout-time.Since(q.arrived)-q.expectedFirstByte)
+	}
 	var w time.Duration
-	w, q.late = sched.MaxWait(g, q.priorTime+time.Since(q.arrived)+q.expectedFirstByte, time.Until(q.deadline))
+	w, q.late = sched.MaxWait(g, q.priorTime+time.Since(q.arrived)+q.expectedFirstByte, left)
 	return w
 }
 
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"kingcupstand/core/length"
 	"kingcupstand/core/peers"
 	"kingcupstand/core/plan"
 	"kingcupstand/core/pool"
@@ -31,6 +32,7 @@
 	// disconnected is true while the platform does not answer.
 	disconnected bool
 	spent        *spent.Estimator
+	length       *length.Estimator
 	// slotsAssigned is when slots were last assigned to fronts.
 	slotsAssigned time.Duration
 	// creditsRefilled is when the credits for sends beyond own slots were last refilled.
@@ -75,6 +77,7 @@
 		peers:     peers.New(s.Peer, s.Seeds),
 		random:    r,
 		spent:     spent.New(),
+		length:    length.New(),
 		reachable: map[string]bool{},
 	}
 }
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -32,15 +32,16 @@
 	q := e.request
 	s := event.New()
 	b := make([]byte, readBuffer)
-	seen, since := 0, time.Now()
+	seen := 0
+	g := gapSampler{exchange: e}
 	for {
 		n, err := a.Body.Read(b)
 		if es := s.Push(b[:n]); len(es) > 0 {
 			if seen == 0 {
 				e.recordFirstByte()
-				since = time.Now()
 			}
 			seen += len(es)
+			g.add(len(es))
 			e.stallTimer.Reset(q.streamStall())
 			q.open(a)
 			if werr := q.forward(es); werr != nil {
@@ -54,10 +55,7 @@
 			continue
 		}
 		e.stallTimer.Stop()
-		if seen > 1 {
-			p := time.Since(since) / time.Duration(seen-1)
-			q.front.loop.Post(func(_ time.Duration, s *state) { s.pool.ObserveEventGap(e.choice.ID, p) })
-		}
+		g.flush()
 		if !errors.Is(err, io.EOF) {
 			return result{sent: true, mayHaveRun: true, err: fmt.Errorf("read stream: %w", err)}
 		}
@@ -67,6 +65,7 @@
 		e.keep(a)
 		e.outcome = pool.Good
 		q.open(a)
+		q.observeLength()
 		q.finish(http.StatusOK, "answered")
 		return result{done: true}
 	}
@@ -107,3 +106,45 @@
 	}
 	return nil
 }
+
+// observeLength records the length of the caller's complete response for later estimates.
+func (q *request) observeLength() {
+	if q.call.LastEventID != "" {
+		return // only the rest of a response
+	}
+	n := q.stream.events
+	q.front.loop.Post(func(_ time.Duration, s *state) { s.length.Observe(q.route.Name, q.call.OutputHint, n) })
+}
+
+// gapSampler reports the mean gap between the events of a stream to the pool, once for
+// each pool.GapSample events and at the end of the stream.
+type gapSampler struct {
+	exchange *exchange
+	// last is when the latest event arrived; zero before the first. The sample began with
+	// the event at the time since, and has that many gaps.
+	last, since time.Time
+	gaps        int
+}
+
+// add adds n events that have just arrived together.
+func (g *gapSampler) add(n int) {
+	now := time.Now()
+	if g.last.IsZero() {
+		g.since = now
+		n--
+	}
+	g.last = now
+	if g.gaps += n; g.gaps >= pool.GapSample {
+		g.flush()
+	}
+}
+
+// flush reports the sample and begins the next one.
+func (g *gapSampler) flush() {
+	if g.gaps == 0 {
+		return
+	}
+	id, d := g.exchange.choice.ID, g.last.Sub(g.since)/time.Duration(g.gaps)
+	g.exchange.request.front.loop.Post(func(_ time.Duration, s *state) { s.pool.ObserveEventGap(id, d) })
+	g.since, g.gaps = g.last, 0
+}
