--- a/core/queue/class.go
+++ b/core/queue/class.go
@@ -7,9 +7,15 @@
 	"kingcupstand/core/heap"
 )
 
-// rateTimeConstant is the time constant with which the counts of requests decay. It is
-// about the length of a burst, which lasts a few seconds.
-const rateTimeConstant = 4 * time.Second
+// Time constants with which the counts of requests decay.
+const (
+	// rateTimeConstant is about the length of a burst, which lasts a few seconds.
+	rateTimeConstant = 4 * time.Second
+	// fairnessTimeConstant is that of the counts by which the least served shares are
+	// enforced. It is longer than a burst, so that long requests can give way for the whole
+	// of it and be made up for in the lull that follows.
+	fairnessTimeConstant = 20 * time.Second
+)
 
 // minLongShare is the least served share of the long requests of a class, relative to that
 // of the short ones. It is above a half, because a class counts as unfair to its longest
@@ -55,13 +61,13 @@
 
 func (c *class[T]) len() int { return c.short.heap.Len() + c.long.heap.Len() }
 
-// pushed and popped return the decayed counts of requests.
-func (c *class[T]) pushed(now time.Duration) float64 {
-	return c.short.pushed.get(now) + c.long.pushed.get(now)
+// recent and past return the counts of the class's requests.
+func (c *class[T]) recent(now time.Duration) served {
+	return c.short.recent.get(now).plus(c.long.recent.get(now))
 }
 
-func (c *class[T]) popped(now time.Duration) float64 {
-	return c.short.popped.get(now) + c.long.popped.get(now)
+func (c *class[T]) past(now time.Duration) served {
+	return c.short.past.get(now).plus(c.long.past.get(now))
 }
 
 // lanes returns the lanes in the order in which they are served: the short requests come
@@ -70,7 +76,7 @@
 func (c *class[T]) lanes(now time.Duration) [2]*lane[T] {
 	a, okA := c.short.heap.Peek()
 	b, okB := c.long.heap.Peek()
-	longFirst := c.long.share(now) < minLongShare*c.short.share(now)
+	longFirst := c.long.past.get(now).share() < minLongShare*c.short.past.get(now).share()
 	switch {
 	case !okA || !okB:
 		longFirst = okB
@@ -85,18 +91,31 @@
 
 // lane holds the requests of one class that are of similar length.
 type lane[T any] struct {
-	heap   *heap.Heap[item[T]]
-	pushed decayingCount
-	popped decayingCount
+	heap *heap.Heap[item[T]]
+	// recent and past count the requests with rateTimeConstant and fairnessTimeConstant.
+	recent, past servedCount
 }
 
 func newLane[T any]() lane[T] {
-	return lane[T]{heap: heap.New(func(a, b item[T]) bool { return a.key.before(b.key) })}
+	return lane[T]{
+		heap:   heap.New(func(a, b item[T]) bool { return a.key.before(b.key) }),
+		recent: servedCount{timeConstant: rateTimeConstant},
+		past:   servedCount{timeConstant: fairnessTimeConstant},
+	}
 }
 
-// share returns the served share: the part of the requests that were popped.
-func (l *lane[T]) share(now time.Duration) float64 {
-	return l.popped.get(now) / max(1, l.pushed.get(now))
+// push adds a request.
+func (l *lane[T]) push(now time.Duration, i item[T]) *heap.Node[item[T]] {
+	l.recent.add(now, served{pushed: 1})
+	l.past.add(now, served{pushed: 1})
+	return l.heap.Push(i)
+}
+
+// pop removes the first request.
+func (l *lane[T]) pop(now time.Duration) {
+	l.recent.add(now, served{popped: 1})
+	l.past.add(now, served{popped: 1})
+	l.heap.Pop()
 }
 
 // ahead returns the number of requests that come before k.
@@ -110,15 +129,27 @@
 	return n
 }
 
-// decayingCount counts events with exponential decay. Divided by rateTimeConstant, the
-// count is the recent rate of the events.
-type decayingCount struct {
-	value   float64
-	updated time.Duration
+// served holds numbers of requests.
+type served struct{ pushed, popped float64 }
+
+func (s served) plus(o served) served { return served{s.pushed + o.pushed, s.popped + o.popped} }
+
+// share returns the served share: the part of the requests that were popped.
+func (s served) share() float64 { return s.popped / max(1, s.pushed) }
+
+// servedCount counts requests with exponential decay. Divided by the time constant, the
+// counts are recent rates.
+type servedCount struct {
+	timeConstant time.Duration
+	value        served
+	updated      time.Duration
 }
 
-func (c *decayingCount) get(now time.Duration) float64 {
-	return c.value * math.Exp(-float64(now-c.updated)/float64(rateTimeConstant))
+func (c *servedCount) get(now time.Duration) served {
+	f := math.Exp(-float64(now-c.updated) / float64(c.timeConstant))
+	return served{f * c.value.pushed, f * c.value.popped}
 }
 
-func (c *decayingCount) add(now time.Duration) { c.value, c.updated = c.get(now)+1, now }
+func (c *servedCount) add(now time.Duration, s served) {
+	c.value, c.updated = c.get(now).plus(s), now
+}
--- a/core/queue/order.go
+++ b/core/queue/order.go
@@ -63,9 +63,8 @@
 
 // rank returns the position of a class whose first request is late or not.
 func (q *Queue[T]) rank(now time.Duration, c *class[T], late bool) rank {
-	s := c.popped(now) / max(1, c.pushed(now))
-	r := rank{tierRank: c.key.tierRank, routeRank: c.key.routeRank, share: s / q.weight(c)}
-	r.starved = r.routeRank > 0 && s < minClassShare*q.tierShare(now, r.tierRank)
+	r := rank{tierRank: c.key.tierRank, routeRank: c.key.routeRank, share: c.recent(now).share() / q.weight(c)}
+	r.starved = r.routeRank > 0 && c.past(now).share() < minClassShare*q.tierShare(now, r.tierRank)
 	if late {
 		r.share /= lateWeight
 	}
@@ -74,14 +73,13 @@
 
 // tierShare returns the served share of all requests of a tier.
 func (q *Queue[T]) tierShare(now time.Duration, tierRank int) float64 {
-	var pushed, popped float64
+	var s served
 	for _, c := range q.classes {
 		if c.key.tierRank == tierRank {
-			pushed += c.pushed(now)
-			popped += c.popped(now)
+			s = s.plus(c.past(now))
 		}
 	}
-	return popped / max(1, pushed)
+	return s.share()
 }
 
 // weight returns the weight of a class. A class whose requests occupy their slots for
@@ -144,8 +142,7 @@
 
 // Take removes the request of one of the Heads.
 func (q *Queue[T]) Take(now time.Duration, h Head[T]) {
-	h.lane.heap.Pop()
-	h.lane.popped.add(now)
+	h.lane.pop(now)
 }
 
 // Pop removes and returns the first of the Heads. It reports false if the queue is empty.
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -27,7 +27,7 @@
 // and the others get a part of what they need; a class of long requests is the first to
 // yield, as each of them takes the place of several short ones. However deep the overload
 // is, the served share of a class that has queued requests doesn't stay below a quarter of
-// that of all requests: such a class goes first.
+// that of all requests, measured over more than a burst: such a class goes first.
 //
 // Within a class, requests that can still meet their latency goal come before late
 // ones. Among those that can, short requests come before long ones, but long ones are
@@ -123,8 +123,7 @@
 	q.sequence++
 	k.sequence = q.sequence
 	l := c.lane(k.Hold)
-	l.pushed.add(now)
-	return &Handle[T]{class: c, lane: l, node: l.heap.Push(item[T]{key: k, value: v}), key: k}
+	return &Handle[T]{class: c, lane: l, node: l.push(now, item[T]{key: k, value: v}), key: k}
 }
 
 // Remove removes a request. It reports false if the request is not queued.
@@ -161,16 +160,17 @@
 	ahead := float64(q.Ahead(h) + 1)
 	var popped, urgent float64 // decayed counts of all pops, and of pushes to more urgent classes
 	for k, c := range q.classes {
-		popped += c.popped(now)
+		n := c.recent(now)
+		popped += n.popped
 		if k.moreUrgent(h.class.key) {
-			urgent += c.pushed(now)
+			urgent += n.pushed
 			ahead += float64(c.len())
 		}
 	}
 	w := defaultWait
 	// A request can use all pops that more urgent classes leave, and its lane at least as
 	// many as it had.
-	if v := max(h.lane.popped.get(now), popped-urgent) / rateTimeConstant.Seconds(); v >= 1 {
+	if v := max(h.lane.recent.get(now).popped, popped-urgent) / rateTimeConstant.Seconds(); v >= 1 {
 		w = time.Duration(ahead / v * float64(time.Second))
 	}
 	if q.holdTime > 0 && slots > 0 {
