--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -117,6 +117,35 @@
 	}
 }
 
+// Guards against refunds adding to an allowance: in a rush all requests of a second are
+// refused a second after they were charged, and the workspace goes on with ordinary load.
+// When the charges leave the window, the refunds must not make room for more.
+func TestRefundsDontAddToAllowance(t *testing.T) {
+	const rate, burst, cost, step = 1000.0, 1000.0, 20.0, 10 * time.Millisecond
+	q := quota.New(pool.Hash, window)
+	q.Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: rate, Burst: burst}})
+	var used []float64
+	charged := map[time.Duration]int{}
+	for now := time.Duration(0); now < 4*window; now += step {
+		used = append(used, 0)
+		for range charged[now-time.Second] {
+			q.Refund(now, "w", cost)
+		}
+		rush := now >= window && now < window+time.Second
+		for range 20 {
+			switch _, ok := q.Take(now, "w", cost); {
+			case ok && rush:
+				charged[now]++
+			case ok:
+				used[len(used)-1] += cost
+			}
+		}
+	}
+	if m := maxSum(used, int(window/step)); m > rate*window.Seconds()+burst+cost {
+		t.Errorf("used %.0f in a window, want at most the allowance of %.0f", m, rate*window.Seconds()+burst)
+	}
+}
+
 // A peer that restarts counts from zero. What its earlier incarnation used stays
 // charged.
 func TestRestartedPeerIsChargedFromZero(t *testing.T) {
--- a/core/quota/window.go
+++ b/core/quota/window.go
@@ -36,14 +36,40 @@
 // place returns the place of the step that comes the given number of steps after the
 // present one, or of the step one ring length before that, which is the same place.
 func (w *window) place(after int64) *float64 {
-	return &w.used[(w.current+after)%int64(len(w.used))]
+	n := int64(len(w.used))
+	return &w.used[((w.current+after)%n+n)%n]
 }
 
-// add adds usage at the present time; a refund is negative.
+// refundDelay is about how long after it was charged a request is refused at the latest.
+const refundDelay = time.Second
+
+// add adds usage at the present time. Negative usage is a refund: it is taken from the steps
+// around refundDelay ago, in which it was charged. If it were counted as negative usage at
+// the present time, it would still lower the sum when the charge has expired.
 func (w *window) add(now time.Duration, n float64) {
 	w.advance(now)
-	*w.place(0) += n
-	w.sum += n
+	if n >= 0 {
+		*w.place(0) += n
+		w.sum += n
+		return
+	}
+	charged := min(int64(refundDelay/w.step), windowSteps)
+	for i := charged; i <= windowSteps; i++ {
+		n += w.refund(-i, -n)
+	}
+	for i := charged - 1; i >= 0; i-- {
+		n += w.refund(-i, -n)
+	}
+}
+
+// refund takes at most n from the step that comes the given number of steps after the
+// present one, and returns how much it has taken.
+func (w *window) refund(after int64, n float64) float64 {
+	u := w.place(after)
+	d := min(*u, n)
+	*u -= d
+	w.sum -= d
+	return d
 }
 
 // spread adds usage evenly over the past window.
