--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -88,7 +88,8 @@
 	TimeLeft time.Duration
 	// MaxGap is the longest gap between the events of a stream that callers expect; 0 sets
 	// no limit. A prompt that takes long to prefill causes a gap in all streams that the
-	// engine runs. It is prefilled there all the same if AllowGaps is true.
+	// engine runs. It is prefilled there all the same if AllowGaps is true, or if hardly any
+	// engine would take less time even for this prompt alone.
 	MaxGap    time.Duration
 	AllowGaps bool
 	// Exclude holds the IDs of targets that must not be chosen.
@@ -298,12 +299,12 @@
 	var best *target
 	var least time.Duration
 	err := ErrNoTarget
-	shortest := p.shortestOutput(now, c)
+	f := p.fastest(now, c)
 	for _, t := range p.byService[c.Service] {
 		if t.Leaving || contains(c.Exclude, t.ID) || !t.usable(now) {
 			continue
 		}
-		if !t.hasSlot() && (!c.Oversubscribe || !t.acceptsExtra()) || now < t.fullUntil || !t.suits(now, c, shortest) {
+		if !t.hasSlot() && (!c.Oversubscribe || !t.acceptsExtra()) || now < t.fullUntil || !t.suits(now, c, f) {
 			err = ErrFull
 			continue
 		}
@@ -329,16 +330,16 @@
 	}, nil
 }
 
-// shortestOutput returns the shortest time in which a usable target is expected to
-// generate the response.
-func (p *Pool) shortestOutput(now time.Duration, c Criteria) time.Duration {
-	least := time.Duration(math.MaxInt64)
+// fastest returns the shortest times that usable targets are expected to need for a request.
+func (p *Pool) fastest(now time.Duration, c Criteria) times {
+	f := times{firstByte: math.MaxInt64, output: math.MaxInt64}
 	for _, t := range p.byService[c.Service] {
 		if !t.Leaving && !contains(c.Exclude, t.ID) && t.usable(now) {
-			least = min(least, t.predictOutput(c.Events))
+			f.firstByte = min(f.firstByte, t.predictPrefill(now, c.PromptTokens))
+			f.output = min(f.output, t.predictOutput(c.Events))
 		}
 	}
-	return least
+	return f
 }
 
 // suspended returns the target whose suspension ends first among those where this front
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -57,8 +57,8 @@
 	// deadlineShare is the share of the time left within which a response must be expected
 	// to end, as its length is known only roughly.
 	deadlineShare = 0.8
-	// slowerFactor is how much longer than at the fastest target a response may take that
-	// is not expected to end in time anywhere.
+	// slowerFactor is how much longer than at the fastest target a response that is not
+	// expected to end in time anywhere, or a prompt that causes a long gap anywhere, may take.
 	slowerFactor = 1.3
 	// maxGapShare is the share of the longest gap that prefilling may cause.
 	maxGapShare = 0.5
@@ -190,7 +190,13 @@
 	if !t.Engine {
 		return time.Duration(t.currentSlowdown(now) * float64(defaultPlainTime))
 	}
-	return time.Duration(t.currentSlowdown(now) * float64(t.estimator.predict(t.prefillTokens(prompt))))
+	return t.predictPrefill(now, t.prefillTokens(prompt))
+}
+
+// predictPrefill returns the predicted time to the first byte of an engine that has the given
+// number of prompt tokens to prefill.
+func (t *target) predictPrefill(now time.Duration, tokens int) time.Duration {
+	return time.Duration(t.currentSlowdown(now) * float64(t.estimator.predict(tokens)))
 }
 
 // predictOutput returns the predicted time from the first to the last event of a response.
@@ -198,18 +204,21 @@
 	return time.Duration(events * float64(t.eventGap))
 }
 
-// suits reports whether an engine is expected to finish the response in time, or almost as
-// soon as the fastest one, which takes the time shortest for the output, and to prefill the
-// prompt without a long gap in the streams that it runs.
-func (t *target) suits(now time.Duration, c Criteria, shortest time.Duration) bool {
+// times are the times that a target is expected to need for a request alone.
+type times struct{ firstByte, output time.Duration }
+
+// suits reports whether an engine is expected to finish the response in time, and to prefill
+// the prompt without a long gap in the streams that it runs, or to need hardly more time for
+// either than the fastest one.
+func (t *target) suits(now time.Duration, c Criteria, fastest times) bool {
 	if !t.Engine {
 		return true
 	}
 	first, output := t.predictFirstByte(now, c.PromptTokens), t.predictOutput(c.Events)
-	if c.Events > 0 && c.TimeLeft > 0 && float64(first+output) > deadlineShare*float64(c.TimeLeft) && float64(output) > slowerFactor*float64(shortest) {
+	if c.Events > 0 && c.TimeLeft > 0 && float64(first+output) > deadlineShare*float64(c.TimeLeft) && float64(output) > slowerFactor*float64(fastest.output) {
 		return false
 	}
-	return c.AllowGaps || c.MaxGap == 0 || t.running() == 0 || float64(first) <= maxGapShare*float64(c.MaxGap)
+	return c.AllowGaps || c.MaxGap == 0 || t.running() == 0 || float64(first) <= max(maxGapShare*float64(c.MaxGap), slowerFactor*float64(fastest.firstByte))
 }
 
 func (t *target) begin(now time.Duration, prompt int) {
