--- /dev/null
+++ b/io/front/criteria.go
@@ -0,0 +1,48 @@
+package front
+
+import (
+	"time"
+
+	"kingcupstand/core/plan"
+	"kingcupstand/core/pool"
+	"kingcupstand/core/sched"
+)
+
+// defaultGoal is the goal of routes that set none.
+const defaultGoal = time.Second
+
+// criteria returns the criteria for the choice of a target.
+func (q *request) criteria() pool.Criteria {
+	c := pool.Criteria{
+		Service:      q.service,
+		PromptTokens: q.call.PromptTokens,
+		Events:       q.expectedEvents,
+		TimeLeft:     time.Until(q.deadline),
+		MaxGap:       q.route.Gap,
+		Exclude:      q.excluded,
+		NoRetry:      !q.route.Repeatable(),
+	}
+	if q.stream != nil {
+		c.Events = max(0, c.Events-float64(q.stream.events))
+	}
+	return c
+}
+
+// maxWait returns how long the request may wait in the queue.
+func (q *request) maxWait() time.Duration {
+	if q.stream != nil {
+		// The caller gives up if an interrupted stream doesn't continue by then.
+		return q.streamStall()
+	}
+	g := q.route.Goal
+	if g == 0 {
+		g = defaultGoal
+	}
+	left := time.Until(q.deadline)
+	if q.route.Kind == plan.Stream {
+		left = min(left, callerStallTimeout-time.Since(q.arrived)-q.expectedFirstByte)
+	}
+	var w time.Duration
+	w, q.late = sched.MaxWait(g, q.priorTime+time.Since(q.arrived)+q.expectedFirstByte, left)
+	return w
+}
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -15,7 +15,6 @@
 
 	"kingcupstand/core/plan"
 	"kingcupstand/core/pool"
-	"kingcupstand/core/sched"
 	"kingcupstand/io/actor"
 )
 
@@ -23,8 +22,6 @@
 const (
 	// replyMargin is how long before the caller's timeout the final response is given.
 	replyMargin = 20 * time.Millisecond
-	// defaultGoal is the goal of routes that set none.
-	defaultGoal = time.Second
 	// noPlanRetry is the Retry-After of a front that has no plan yet.
 	noPlanRetry = 300 * time.Millisecond
 	// stoppingRetry is the Retry-After of a front that shuts down; the caller's next
@@ -327,42 +324,6 @@
 	}
 }
 
-// criteria returns the criteria for the choice of a target.
-func (q *request) criteria() pool.Criteria {
-	c := pool.Criteria{
-		Service:      q.service,
-		PromptTokens: q.call.PromptTokens,
-		Events:       q.expectedEvents,
-		TimeLeft:     time.Until(q.deadline),
-		MaxGap:       q.route.Gap,
-		Exclude:      q.excluded,
-		NoRetry:      !q.route.Repeatable(),
-	}
-	if q.stream != nil {
-		c.Events = max(0, c.Events-float64(q.stream.events))
-	}
-	return c
-}
-
-// maxWait returns how long the request may wait in the queue.
-func (q *request) maxWait() time.Duration {
-	if q.stream != nil {
-		// The caller gives up if an interrupted stream doesn't continue by then.
-		return q.streamStall()
-	}
-	g := q.route.Goal
-	if g == 0 {
-		g = defaultGoal
-	}
-	left := time.Until(q.deadline)
-	if q.route.Kind == plan.Stream {
-		left = min(left, callerStallTimeout-time.Since(q.arrived)-q.expectedFirstByte)
-	}
-	var w time.Duration
-	w, q.late = sched.MaxWait(g, q.priorTime+time.Since(q.arrived)+q.expectedFirstByte, left)
-	return w
-}
-
 // release returns a slot that was granted but is not used.
 func (q *request) release(c pool.Choice) {
 	q.front.loop.Post(func(now time.Duration, s *state) {
