--- a/core/queue/order.go
+++ b/core/queue/order.go
@@ -74,7 +74,7 @@
 // tierShare returns the served share of all requests of a tier.
 func (q *Queue[T]) tierShare(now time.Duration, tierRank int) float64 {
 	var s served
-	for _, c := range q.classes {
+	for _, c := range q.ordered {
 		if c.key.tierRank == tierRank {
 			s = s.plus(c.past(now))
 		}
@@ -90,7 +90,7 @@
 	}
 	w := SecondWeight * math.Pow(WeightRatio, float64(c.key.routeRank-1))
 	least := c.hold
-	for _, o := range q.classes {
+	for _, o := range q.ordered {
 		if o.key.tierRank == c.key.tierRank && o.key.routeRank < c.key.routeRank && o.hold > 0 {
 			least = min(least, o.hold)
 		}
@@ -120,7 +120,7 @@
 		lanes [2]*lane[T]
 	}
 	es := make([]entry, 0, len(q.classes))
-	for _, c := range q.classes {
+	for _, c := range q.ordered {
 		if c.len() == 0 {
 			continue
 		}
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -36,6 +36,8 @@
 package queue
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"kingcupstand/core/heap"
@@ -91,7 +93,10 @@
 
 // Queue is a weighted fair queue. It is not safe for concurrent use.
 type Queue[T any] struct {
-	classes  map[classKey]*class[T]
+	classes map[classKey]*class[T]
+	// ordered holds the classes from the most to the least urgent. Sums over the classes are
+	// always computed in this order, so that equal inputs give equal results.
+	ordered  []*class[T]
 	sequence uint64
 	// holdTime is the exponentially weighted average of the time that a request
 	// occupies its slot; it is 0 before the first sample.
@@ -106,7 +111,7 @@
 // Len returns the number of queued requests.
 func (q *Queue[T]) Len() int {
 	n := 0
-	for _, c := range q.classes {
+	for _, c := range q.ordered {
 		n += c.len()
 	}
 	return n
@@ -119,6 +124,10 @@
 	if c == nil {
 		c = newClass[T](g)
 		q.classes[g] = c
+		q.ordered = append(q.ordered, c)
+		slices.SortFunc(q.ordered, func(a, b *class[T]) int {
+			return cmp.Or(a.key.tierRank-b.key.tierRank, a.key.routeRank-b.key.routeRank)
+		})
 	}
 	q.sequence++
 	k.sequence = q.sequence
@@ -159,10 +168,10 @@
 func (q *Queue[T]) ExpectedWait(now time.Duration, h *Handle[T], slots float64) time.Duration {
 	ahead := float64(q.Ahead(h) + 1)
 	var popped, urgent float64 // decayed counts of all pops, and of pushes to more urgent classes
-	for k, c := range q.classes {
+	for _, c := range q.ordered {
 		n := c.recent(now)
 		popped += n.popped
-		if k.moreUrgent(h.class.key) {
+		if c.key.moreUrgent(h.class.key) {
 			urgent += n.pushed
 			ahead += float64(c.len())
 		}
@@ -210,9 +219,9 @@
 // CountByPriority returns the number of queued requests of each priority.
 func (q *Queue[T]) CountByPriority() map[Priority]int {
 	m := map[Priority]int{}
-	for k, c := range q.classes {
+	for _, c := range q.ordered {
 		for _, l := range []*lane[T]{&c.short, &c.long} {
-			l.heap.Each(func(i item[T]) { m[Priority{k.tierRank, i.key.Late, k.routeRank}]++ })
+			l.heap.Each(func(i item[T]) { m[Priority{c.key.tierRank, i.key.Late, c.key.routeRank}]++ })
 		}
 	}
 	return m
