--- a/core/queue/class.go
+++ b/core/queue/class.go
@@ -19,8 +19,9 @@
 
 // minLongShare is the least served share of the long requests of a class, relative to that
 // of the short ones. It is above a half, because a class counts as unfair to its longest
-// requests if they are served less than half as often as the whole class.
-const minLongShare = 0.6
+// requests if they are served less than half as often as the whole class, and the longest
+// are the likeliest not to end in time.
+const minLongShare = 0.7
 
 type item[T any] struct {
 	key   SortKey
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -30,9 +30,9 @@
 // that of all requests, measured over more than a burst: such a class goes first.
 //
 // Within a class, requests that can still meet their latency goal come before late
-// ones. Among those that can, short requests come before long ones, but long ones are
-// served at least a bit more than half as often. Requests of unknown length and late ones
-// are first in, first out.
+// ones. Among those that can, short requests come before long ones, the shortest first, but
+// long ones are served at least a bit more than half as often. Long requests, those of
+// unknown length and late ones are first in, first out.
 package queue
 
 import (
@@ -132,6 +132,9 @@
 	q.sequence++
 	k.sequence = q.sequence
 	l := c.lane(k.Hold)
+	if l == &c.long {
+		k.Hold = 0 // first in, first out: the longest must not always come last
+	}
 	return &Handle[T]{class: c, lane: l, node: l.push(now, item[T]{key: k, value: v}), key: k}
 }
 
