--- a/core/queue/class.go
+++ b/core/queue/class.go
@@ -18,10 +18,9 @@
 )
 
 // minLongShare is the least served share of the long requests of a class, relative to that
-// of the short ones. It is above a half, because a class counts as unfair to its longest
-// requests if they are served less than half as often as the whole class, and the longest
-// are the likeliest not to end in time.
-const minLongShare = 0.7
+// of the short ones. The longest are the likeliest not to end in time, so that a smaller
+// share would leave the longest tenth served less than half as often as the whole class.
+const minLongShare = 1.0
 
 type item[T any] struct {
 	key   SortKey
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -31,8 +31,8 @@
 //
 // Within a class, requests that can still meet their latency goal come before late
 // ones. Among those that can, short requests come before long ones, the shortest first, but
-// long ones are served at least a bit more than half as often. Long requests, those of
-// unknown length and late ones are first in, first out.
+// over more than a burst long ones are served as often. Long requests, those of unknown
+// length and late ones are first in, first out.
 package queue
 
 import (
