io/front, platform: limits that targets name are logged

'limit of a target' shows when a target begins, changes and ends its limit, 'limited target' counts the requests of each second. No decision depends on them.

--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -55,6 +55,8 @@
 	runs     map[string]int
 	requests []*http.Request
 	conns    map[net.Conn]bool
+	// limit is the header line with the limit that responses name, or "".
+	limit string
 }
 
 // faults holds the fault of the next requests and the number left of them. Replicas may
@@ -97,6 +99,16 @@
 	r.faults.next, r.faults.left = f, n
 }
 
+// SetLimit makes responses name a limit, as the text of a decimal number of requests a
+// second; "" ends it.
+func (r *Replica) SetLimit(perSecond string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.limit = ""; perSecond != "" {
+		r.limit = "Server-Limit: " + perSecond + "\r\n"
+	}
+}
+
 // ShareFaults makes o share the faults of r: the next request at either replica takes the
 // next fault. It must be called before any requests.
 func (r *Replica) ShareFaults(o *Replica) { o.faults = r.faults }
@@ -172,30 +184,30 @@
 	}
 }
 
-// nextFault takes the fault of a request and records the request as run, unless it is
-// rejected.
-func (r *Replica) nextFault(q *http.Request) Fault {
-	f := r.faults.take()
+// receive takes the fault of a request and records the request as run, unless it is
+// rejected. It also returns the header line of the limit.
+func (r *Replica) receive(q *http.Request) (f Fault, limit string) {
+	f = r.faults.take()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if f != Full && q.Header.Get("Expect-Replica") == r.ID {
 		r.runs[q.Header.Get("Attempt-Id")]++
 		r.requests = append(r.requests, q)
 	}
-	return f
+	return f, r.limit
 }
 
 // serve responds to one request. It reports false if the connection must be closed.
 func (r *Replica) serve(c net.Conn, q *http.Request) bool {
-	f := r.nextFault(q)
+	f, limit := r.receive(q)
 	id := q.Header.Get("Attempt-Id")
 	if q.Header.Get("Expect-Replica") != r.ID {
 		return write(c, "HTTP/1.1 421 Misdirected Request\r\nReplica-Id: %s\r\nContent-Length: 0\r\n\r\n", r.ID)
 	}
-	head := fmt.Sprintf("Attempt-Id: %s\r\nReplica-Stamp: %s.%s\r\n", id, r.ID, id)
+	head := fmt.Sprintf("Attempt-Id: %s\r\nReplica-Stamp: %s.%s\r\n%s", id, r.ID, id, limit)
 	switch f {
 	case Full:
-		return write(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		return write(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", limit)
 	case Failing:
 		return write(c, "HTTP/1.1 500 Internal Server Error\r\n%sContent-Length: 6\r\n\r\nfailed", head)
 	case Disconnect:
--- a/io/front/codec.go
+++ b/io/front/codec.go
@@ -54,6 +54,12 @@
 	HasReceipt bool
 	// NotRun is true if the target guarantees that it has not run the request.
 	NotRun bool
+	// HasLimit is true if the target names a limit, and Limit is the number of requests a
+	// second that it takes from all fronts together.
+	HasLimit bool
+	Limit    float64
+	// LimitErr is not nil if the target names a limit that is malformed.
+	LimitErr error
 }
 
 // Codec translates between the platform's HTTP headers and this package's types.
--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -99,6 +99,7 @@
 	f.meter.opened.Update(float64(opened))
 	f.meter.reused.Update(float64(reused))
 	f.meter.recordProcess(now, s)
+	f.reportLimits(s)
 	for _, name := range s.sched.Services() {
 		l := s.pool.Load(now, name)
 		f.meter.recordLoad(name, l, s.sched.Waiting(name), s.budget.Remaining(now, name))
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -34,6 +34,7 @@
 	telem       *telem.Telemetry
 	revision    tally.Gauge
 	targets     tally.Gauge
+	limited     tally.Gauge
 	peers       tally.Gauge
 	opened      tally.Gauge
 	reused      tally.Gauge
@@ -54,6 +55,7 @@
 		telem:       t,
 		revision:    t.Scope.Gauge("plan_revision"),
 		targets:     t.Scope.Gauge("targets"),
+		limited:     t.Scope.Gauge("targets_limited"),
 		peers:       t.Scope.Gauge("peers_heard"),
 		opened:      t.Scope.Gauge("connections_opened"),
 		reused:      t.Scope.Gauge("connections_reused"),
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -144,6 +144,7 @@
 		return result{err: err}
 	}
 	q.tried = append(q.tried, e.choice.ID)
+	e.countSend()
 	q.mayHaveRunBefore = q.mayHaveRun
 	q.mayHaveRun = true // until the target guarantees that it has not
 	if err != nil {
@@ -172,6 +173,7 @@
 		}
 		r := q.front.codec.DecodeReply(a.StatusCode, a.Header)
 		if r.ID == "" || r.ID == q.call.ID {
+			e.observeLimit(a.StatusCode, r)
 			return a, r, nil
 		}
 		e.unexpected = true
