core/limit, core/pool, io/front: fronts keep the limit that a target names (LIMIT)

Callers saw nothing; targets in need got several times the requests that they had named: 58 in 4 s at a limit of 4.2 a second (30 allowed).

Cause: fronts forwarded the limit in responses and neither acted on it nor told their peers. Class: one front learns a bound on something that all fronts share. Ruled out by the new log lines and the test: limits applied by each front for itself, and limits applied too late or on some paths only.

Fix: fronts read the limit, pass it on in heartbeats with its age, divide it among themselves in units as they divide slots, and ask for a token on every path to the target. A lower limit takes effect at once; a higher one only if certainly later.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -37,6 +37,12 @@
 // share of a target's free slots as credits, so that all fronts together don't overload a
 // target that has just started or recovered.
 //
+// # Limits
+//
+// A target that names a limit gets no more requests a second than that from all fronts
+// together: each front sends only its part, see package limit. The rule holds for every
+// choice, also for probes and with Criteria.Oversubscribe.
+//
 // # Suspension
 //
 // A target that can't be reached, sends nothing or breaks off a response is suspended,
@@ -263,7 +269,7 @@
 		l.Targets++
 		if t.usable(now) {
 			l.Usable++
-			l.Slots += t.limit()
+			l.Slots += t.openPlaces(now)
 			l.OwnSlots += t.ownSlots
 		}
 	}
@@ -286,7 +292,7 @@
 	n := 0
 	for _, t := range p.byService[service] {
 		if t.usable(now) {
-			n += max(0, t.limit()-t.running())
+			n += max(0, t.openPlaces(now)-t.running())
 		}
 	}
 	return n
@@ -304,7 +310,7 @@
 		if t.Leaving || contains(c.Exclude, t.ID) || !t.usable(now) {
 			continue
 		}
-		if !t.hasSlot() && (!c.Oversubscribe || !t.acceptsExtra()) || now < t.fullUntil || !t.suits(now, c, f) {
+		if !t.hasSlot() && (!c.Oversubscribe || !t.acceptsExtra()) || now < t.fullUntil || !t.limit.Allows(now) || !t.suits(now, c, f) {
 			err = ErrFull
 			continue
 		}
@@ -314,7 +320,7 @@
 		}
 	}
 	if best == nil && errors.Is(err, ErrNoTarget) {
-		best = p.suspended(c)
+		best = p.suspended(now, c)
 	}
 	if best == nil {
 		return Choice{}, err
@@ -345,10 +351,10 @@
 // suspended returns the target whose suspension ends first among those where this front
 // has nothing in flight, or nil. It is used if no target is usable, because a dispatch that
 // may fail is better for the caller than a refusal.
-func (p *Pool) suspended(c Criteria) *target {
+func (p *Pool) suspended(now time.Duration, c Criteria) *target {
 	var best *target
 	for _, t := range p.byService[c.Service] {
-		if t.Leaving || t.ownRunning > 0 || contains(c.Exclude, t.ID) {
+		if t.Leaving || t.ownRunning > 0 || contains(c.Exclude, t.ID) || !t.limit.Allows(now) {
 			continue
 		}
 		if best == nil || t.suspendedUntil < best.suspendedUntil {
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"kingcupstand/core/limit"
 )
 
 // Outcome is the result of a dispatch, as far as it concerns the target.
@@ -102,6 +104,10 @@
 	backoff        time.Duration
 	// probing is true while the probe request after a suspension is in flight.
 	probing bool
+	// limit is the rate of requests that the target takes, and sent the number of requests
+	// that this front has sent.
+	limit limit.Limit
+	sent  int
 }
 
 func newTarget(e *estimator) *target {
@@ -117,8 +123,8 @@
 	return n
 }
 
-// limit returns the number of requests that may be in flight.
-func (t *target) limit() int {
+// places returns the number of requests that may be in flight.
+func (t *target) places() int {
 	if t.Engine {
 		return t.Slots
 	}
@@ -129,7 +135,7 @@
 // fill its own slots, and other fronts' slots only while it has credits, because the
 // requests that peers have sent since their last heartbeats are not known yet.
 func (t *target) hasSlot() bool {
-	if t.running() >= t.limit() {
+	if t.running() >= t.places() {
 		return false
 	}
 	return !t.Engine || !t.enforced || t.ownRunning < t.ownSlots || t.credits >= 1
@@ -137,10 +143,23 @@
 
 // acceptsExtra reports whether a full engine may get one request beyond its slots: as
 // far as is known, no other request waits for its next free slot.
-func (t *target) acceptsExtra() bool { return t.Engine && t.running() <= t.limit() }
+func (t *target) acceptsExtra() bool { return t.Engine && t.running() <= t.places() }
 
 // freeSlots returns the number of free slots.
-func (t *target) freeSlots() int { return max(0, t.limit()-t.running()) }
+func (t *target) freeSlots() int { return max(0, t.places()-t.running()) }
+
+// openPlaces returns the number of slots that are in use or that requests may be sent to now.
+// It is less than places if the target names a limit.
+func (t *target) openPlaces(now time.Duration) int {
+	if !t.limit.Rate().Named {
+		return t.places()
+	}
+	n := t.running()
+	if t.limit.Allows(now) {
+		n++
+	}
+	return min(n, t.places())
+}
 
 // refillCredits adds this front's share of the free slots to its credits. What all fronts
 // together add matches the free slots, so that they don't overload a target that has just
@@ -225,6 +244,8 @@
 	if t.ownRunning >= t.ownSlots {
 		t.credits = max(0, t.credits-1)
 	}
+	t.limit.Take(now)
+	t.sent++
 	t.ownRunning++
 	t.ownTokens += prompt
 	if t.backoff > minBackoff && now >= t.suspendedUntil {
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -45,12 +45,13 @@
 // Every front sends to every target. The fronts exchange reports of their queues, so
 // that together they behave as if they shared one queue per service: a front holds a
 // request back while the free slots are needed by requests of higher priority that
-// wait at its peers. AssignSlots divides the slots of engines among the fronts.
-// Without it, two fronts that have not yet received each other's latest report would
-// send to the same free slot.
+// wait at its peers. AssignSlots divides the slots of engines, and the limits that
+// targets name, among the fronts. Without it, two fronts that have not yet received each
+// other's latest report would send to the same free slot.
 package sched
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -142,12 +143,13 @@
 	random *rand.Rand
 	queues map[string]*serviceQueue[T]
 	peers  map[string]Report
-	fronts int
+	// fronts is the number of live fronts, and total that of all that may be serving.
+	fronts, total int
 }
 
 // New returns a Scheduler that dispatches to the targets of a pool.
 func New[T any](p *pool.Pool, r *rand.Rand) *Scheduler[T] {
-	return &Scheduler[T]{pool: p, random: r, queues: map[string]*serviceQueue[T]{}, peers: map[string]Report{}, fronts: 1}
+	return &Scheduler[T]{pool: p, random: r, queues: map[string]*serviceQueue[T]{}, peers: map[string]Report{}, fronts: 1, total: 1}
 }
 
 // Services returns the sorted names of the services that have had requests.
@@ -308,31 +310,37 @@
 // RemovePeer discards the report of a peer whose heartbeats have stopped.
 func (s *Scheduler[T]) RemovePeer(peer string) { delete(s.peers, peer) }
 
-// SetFronts sets the number of live fronts, this one included.
-func (s *Scheduler[T]) SetFronts(fronts int) { s.fronts = max(1, fronts) }
+// SetFronts sets the number of live fronts and the total of those that may be serving, this
+// one included in both.
+func (s *Scheduler[T]) SetFronts(live, total int) {
+	s.fronts, s.total = max(1, live), max(1, live, total)
+}
 
-// AssignSlots recomputes how many slots of each engine this front owns, from its own
-// demand and the demand that its peers have reported, and passes the numbers to the pool.
-// Self is this front's name among the peers.
+// AssignSlots recomputes how many slots of each engine this front owns and how many units of
+// each limit that a target names, from its own demand and the demand that its peers have
+// reported, and passes the numbers to the pool. Self is this front's name among the peers.
 func (s *Scheduler[T]) AssignSlots(now time.Duration, self string) {
-	own := map[string]int{}
+	slots, units := map[string]int{}, map[string]int{}
 	for name, q := range s.queues {
-		var ts []share.Target
+		var es, ls []share.Target
 		for _, t := range s.pool.Targets(name) {
 			if t.Engine {
-				ts = append(ts, share.Target{ID: t.ID, Slots: t.Slots})
+				es = append(es, share.Target{ID: t.ID, Slots: t.Slots})
 			}
 		}
-		if len(ts) == 0 {
+		for _, l := range s.pool.Limited(name) {
+			ls = append(ls, share.Target{ID: l.ID, Slots: l.Units})
+		}
+		if len(es)+len(ls) == 0 {
 			continue
 		}
 		fs := []share.Front{{Name: self, Weight: q.demandAt(now)}}
 		for a, r := range s.peers {
 			fs = append(fs, share.Front{Name: a, Weight: r.Demand[pool.Hash(name)]})
 		}
-		for id, n := range share.Assigned(self, fs, ts) {
-			own[id] = n
-		}
+		maps.Copy(slots, share.Assigned(self, fs, es))
+		maps.Copy(units, share.Assigned(self, fs, ls))
 	}
-	s.pool.SetOwnSlots(own)
+	s.pool.SetOwnSlots(slots)
+	s.pool.SetLimitUnits(now, units, s.fronts, s.total)
 }
--- a/internal/bench/front.go
+++ b/internal/bench/front.go
@@ -324,7 +324,7 @@
 			if o != g {
 				o.pool.SetPeer(g.name, us)
 				o.sched.SetPeer(g.name, report)
-				o.sched.SetFronts(len(w.fronts))
+				o.sched.SetFronts(len(w.fronts), len(w.fronts))
 				o.dispatch()
 			}
 		}
--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -72,7 +72,7 @@
 	s.quota.SetFronts(now, live, all)
 	s.budget.SetFronts(all)
 	f.meter.peers.Update(float64(live))
-	s.sched.SetFronts(live)
+	s.sched.SetFronts(live, all)
 	f.primaryWatcher.Store(s.peers.Position(now) < primaryWatchers)
 	p := minHeartbeatInterval + time.Duration(all)*intervalPerPeer
 	if now-s.creditsRefilled >= p {
@@ -99,8 +99,8 @@
 	f.meter.opened.Update(float64(opened))
 	f.meter.reused.Update(float64(reused))
 	f.meter.recordProcess(now, s)
-	f.reportLimits(s)
 	for _, name := range s.sched.Services() {
+		f.reportLimits(s, name)
 		l := s.pool.Load(now, name)
 		f.meter.recordLoad(name, l, s.sched.Waiting(name), s.budget.Remaining(now, name))
 		f.telem.Log.Info("load", "service", name, "targets", l.Targets, "usable", l.Usable, "slots", l.Slots, "running", l.Running,
@@ -135,6 +135,9 @@
 			Target: u.Target, Running: uint32(u.Running), PromptTokens: uint32(u.PromptTokens), Failing: u.Failing,
 		})
 	}
+	for _, r := range s.pool.LimitReports(now) {
+		m.Limits = append(m.Limits, encodeLimit(r))
+	}
 	for h, u := range s.quota.Uses(now) {
 		m.Workspaces = append(m.Workspaces, &wire.WorkspaceUse{Workspace: h, Used: u.Used, Level: u.Level})
 	}
@@ -175,6 +178,7 @@
 		us = append(us, pool.Use{Target: u.Target, Running: int(u.Running), PromptTokens: int(u.PromptTokens), Failing: u.Failing})
 	}
 	s.pool.SetPeer(m.Peer, us)
+	f.mergeLimits(now, s, m.Peer, m.Limits)
 	ws := quota.Uses{}
 	for _, w := range m.Workspaces {
 		ws[w.Workspace] = quota.Use{Used: w.Used, Level: w.Level}
--- a/io/front/limit.go
+++ b/io/front/limit.go
@@ -3,19 +3,15 @@
 import (
 	"net/http"
 	"time"
-)
 
-// limited is a target that names a limit.
-type limited struct {
-	// perSecond is the number of requests a second that it takes from all fronts together.
-	perSecond float64
-	// sent is the number of requests that this front has sent since the last report.
-	sent int
-}
+	"kingcupstand/core/limit"
+	"kingcupstand/core/pool"
+	"kingcupstand/schema/wire"
+)
 
 // observeLimit records the limit that a response names, or that it names none.
 func (e *exchange) observeLimit(status int, r Reply) {
-	f, id := e.request.front, e.choice.ID
+	f, id, sent := e.request.front, e.choice.ID, e.started
 	if r.LimitErr != nil {
 		f.log("limit", "limit of a target ignored", "target", id, "error", r.LimitErr.Error())
 		return
@@ -25,43 +21,57 @@
 	if status == http.StatusMisdirectedRequest || !r.HasLimit && !r.HasReceipt && !r.NotRun {
 		return
 	}
-	f.loop.Post(func(_ time.Duration, s *state) {
-		var old float64
-		l, known := s.limited[id]
-		if known {
-			old = l.perSecond
-		}
-		if known == r.HasLimit && old == r.Limit {
-			return
-		}
-		switch {
-		case !r.HasLimit:
-			delete(s.limited, id)
-		case known:
-			l.perSecond = r.Limit
-		default:
-			s.limited[id] = &limited{perSecond: r.Limit}
+	f.loop.Post(func(now time.Duration, s *state) {
+		old := s.pool.Limit(id)
+		if s.pool.ObserveLimit(now, now-time.Since(sent), id, limit.Rate{Named: r.HasLimit, PerSecond: r.Limit}) {
+			f.limitChanged(now, s, id, old, "")
 		}
-		f.log("limit", "limit of a target", "target", id, "limited", r.HasLimit, "per-second", r.Limit, "was-limited", known, "was-per-second", old)
-		f.meter.limited.Update(float64(len(s.limited)))
 	})
 }
 
-// countSend counts a request that was sent to a target with a limit.
-func (e *exchange) countSend() {
-	id := e.choice.ID
-	e.request.front.loop.Post(func(_ time.Duration, s *state) {
-		if l := s.limited[id]; l != nil {
-			l.sent++
-		}
-	})
+// mergeLimits records the limits that a peer's heartbeat reports.
+func (f *Front) mergeLimits(now time.Duration, s *state, peer string, ls []*wire.TargetLimit) {
+	rs := make([]pool.LimitReport, 0, len(ls))
+	for _, l := range ls {
+		rs = append(rs, decodeLimit(l))
+	}
+	for _, c := range s.pool.MergeLimits(now, rs) {
+		f.limitChanged(now, s, c.ID, c.Old, peer)
+	}
 }
 
-// reportLimits logs how many requests each target with a limit has got from this front since
-// the last report.
-func (f *Front) reportLimits(s *state) {
-	for id, l := range s.limited {
-		f.telem.Log.Info("limited target", "target", id, "per-second", l.perSecond, "sent", l.sent)
-		l.sent = 0
+// limitChanged applies a new limit of a target at once and tells the peers with the next
+// heartbeat. From is the peer that reported it, or "" if the target named it to this front.
+func (f *Front) limitChanged(now time.Duration, s *state, target string, old limit.Rate, from string) {
+	s.changed = true
+	f.assignSlots(now, s)
+	n := 0
+	for _, v := range s.sched.Services() {
+		n += len(s.pool.Limited(v))
 	}
+	f.meter.limited.Update(float64(n))
+	r := s.pool.Limit(target)
+	f.log("limit", "limit of a target", "target", target, "limited", r.Named, "per-second", r.PerSecond,
+		"was-limited", old.Named, "was-per-second", old.PerSecond, "from", from)
+}
+
+// reportLimits logs the limits that targets of a service name, and this front's part of them.
+func (f *Front) reportLimits(s *state, service string) {
+	for _, l := range s.pool.Limited(service) {
+		f.telem.Log.Info("limited target", "target", l.ID, "per-second", l.PerSecond, "share", l.Share, "sent", l.Sent)
+	}
+}
+
+// encodeLimit and decodeLimit translate between a report and its message.
+func encodeLimit(r pool.LimitReport) *wire.TargetLimit {
+	m := &wire.TargetLimit{Target: r.Target, Born: r.Born, AgeMs: uint32(r.Age.Milliseconds())}
+	if r.Named {
+		m.PerSecond = &r.PerSecond
+	}
+	return m
+}
+
+func decodeLimit(m *wire.TargetLimit) pool.LimitReport {
+	r := limit.Report{Rate: limit.Rate{Named: m.PerSecond != nil, PerSecond: m.GetPerSecond()}, Age: time.Duration(m.AgeMs) * time.Millisecond}
+	return pool.LimitReport{Target: m.Target, Born: m.Born, Report: r}
 }
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -144,7 +144,6 @@
 		return result{err: err}
 	}
 	q.tried = append(q.tried, e.choice.ID)
-	e.countSend()
 	q.mayHaveRunBefore = q.mayHaveRun
 	q.mayHaveRun = true // until the target guarantees that it has not
 	if err != nil {
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -51,8 +51,6 @@
 	heartbeatSent time.Duration
 	// reapplyAt is when the next missing target expires.
 	reapplyAt time.Duration
-	// limited holds the targets that name a limit, by ID.
-	limited map[string]*limited
 }
 
 // allowanceWindow returns the window over which allowances hold.
@@ -81,7 +79,6 @@
 		spent:     spent.New(),
 		length:    length.New(),
 		reachable: map[string]bool{},
-		limited:   map[string]*limited{},
 	}
 }
 
--- a/io/gossip/parse.go
+++ b/io/gossip/parse.go
@@ -43,6 +43,11 @@
 			return nil, fmt.Errorf("%w: demand of %v requests a second", errInvalid, d.PerSecond)
 		}
 	}
+	for _, l := range m.Limits {
+		if !inRange(l.GetPerSecond()) || l.GetPerSecond() < 0 {
+			return nil, fmt.Errorf("%w: limit of %v requests a second", errInvalid, l.GetPerSecond())
+		}
+	}
 	for _, w := range m.Workspaces {
 		// A level may be below 0, and so may the usage for a moment after a refund.
 		if !inRange(w.Used) || !inRange(w.Level) {
--- a/io/gossip/parse_test.go
+++ b/io/gossip/parse_test.go
@@ -68,6 +68,8 @@
 		"demand infinite":    {Peer: peer, Demands: []*wire.ServiceDemand{{PerSecond: math.Inf(1)}}},
 		"demand negative":    {Peer: peer, Demands: []*wire.ServiceDemand{{PerSecond: -1}}},
 		"usage not a number": {Peer: peer, Workspaces: []*wire.WorkspaceUse{{Used: math.NaN()}}},
+		"limit not a number": {Peer: peer, Limits: []*wire.TargetLimit{{PerSecond: proto.Float64(math.NaN())}}},
+		"limit negative":     {Peer: peer, Limits: []*wire.TargetLimit{{PerSecond: proto.Float64(-1)}}},
 		"level infinite":     {Peer: peer, Workspaces: []*wire.WorkspaceUse{{Level: math.Inf(-1)}}},
 	} {
 		b, err := proto.Marshal(m)
