--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -10,6 +10,8 @@
 //
 // Throughout, a non-idempotent request runs at most once, and not at all if its status is
 // 429 or 503. A complete response with status 200 is the one that a replica sent.
+// Replicas name limits that change and end. None gets more requests from all fronts
+// together than it has named.
 //
 // # Usage
 //
@@ -125,6 +127,8 @@
 // there was none.
 type outcome struct {
 	id, path string
+	// front is the index of the front that the attempt was sent to.
+	front    int
 	status   int
 	header   http.Header
 	body     string
@@ -147,6 +151,9 @@
 	undisturbed atomic.Bool
 	mu          sync.Mutex
 	outcomes    []outcome
+	// disturbed holds when each front was killed, paused or restarted.
+	disturbed [fronts][]span
+	limits    []limitSpan
 }
 
 // The system keeps its guarantees under faults, recovers from them, and survives a rolling
@@ -161,7 +168,9 @@
 		g.Go(func() { h.runCaller(stop, i) })
 	}
 	time.Sleep(time.Second)
-	for end := time.Now().Add(*faultTime); time.Now().Before(end); {
+	end := time.Now().Add(*faultTime)
+	h.faults.Go(func() { h.runLimits(end) })
+	for time.Now().Before(end) {
 		h.injectFault()
 		time.Sleep(time.Duration(100+h.random.IntN(500)) * time.Millisecond)
 	}
@@ -244,10 +253,12 @@
 // rollingRestart shuts down and restarts one front after the other while the callers send
 // requests.
 func (h *harness) rollingRestart() {
-	for _, p := range h.fronts {
+	for i, p := range h.fronts {
+		from := time.Now()
 		p.signal(syscall.SIGTERM)
 		p.wait()
 		p.start()
+		h.disturb(i, from)
 	}
 	h.recover()
 }
@@ -255,7 +266,8 @@
 // injectFault starts one random fault, which ends by itself. Faults may overlap.
 func (h *harness) injectFault() {
 	d := time.Duration(200+h.random.IntN(1500)) * time.Millisecond
-	p := h.fronts[h.random.IntN(fronts)]
+	i := h.random.IntN(fronts)
+	p := h.fronts[i]
 	r := h.relays[h.random.IntN(len(h.relays))]
 	k := h.random.IntN(10)
 	if k == 9 {
@@ -263,6 +275,9 @@
 		return
 	}
 	h.faults.Go(func() {
+		if k <= 2 {
+			defer h.disturb(i, time.Now())
+		}
 		switch k {
 		case 0:
 			p.restarting.Lock()
@@ -319,8 +334,9 @@
 		}
 		path := []string{"/chat/", "/get/", "/do/"}[r.IntN(3)] + fmt.Sprint(i)
 		undisturbed := h.undisturbed.Load()
-		o := call(c, h.fronts[r.IntN(fronts)].address, fmt.Sprintf("s-%d-%d", n, i), path)
-		o.undisturbed = undisturbed
+		f := r.IntN(fronts)
+		o := call(c, h.fronts[f].address, fmt.Sprintf("s-%d-%d", n, i), path)
+		o.undisturbed, o.front = undisturbed, f
 		h.mu.Lock()
 		h.outcomes = append(h.outcomes, o)
 		h.mu.Unlock()
@@ -382,6 +398,7 @@
 	for i := range streamEvents {
 		stream.WriteString(stand.EventText(i + 1))
 	}
+	h.checkLimits()
 	counts := map[int]int{}
 	for _, o := range h.outcomes {
 		counts[o.status]++
--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -54,6 +54,7 @@
 	mu       sync.Mutex
 	runs     map[string]int
 	requests []*http.Request
+	arrivals []Arrival
 	conns    map[net.Conn]bool
 	// limit is the header line with the limit that responses name, or "".
 	limit string
@@ -128,6 +129,19 @@
 	return append([]*http.Request(nil), r.requests...)
 }
 
+// Arrival is a request that reached a replica, whether it ran or not.
+type Arrival struct {
+	ID string
+	At time.Time
+}
+
+// Arrivals returns all requests that reached the replica, in order.
+func (r *Replica) Arrivals() []Arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Arrival(nil), r.arrivals...)
+}
+
 // Connections returns the number of open connections.
 func (r *Replica) Connections() int {
 	r.mu.Lock()
@@ -190,6 +204,7 @@
 	f = r.faults.take()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.arrivals = append(r.arrivals, Arrival{q.Header.Get("Attempt-Id"), time.Now()})
 	if f != Full && q.Header.Get("Expect-Replica") == r.ID {
 		r.runs[q.Header.Get("Attempt-Id")]++
 		r.requests = append(r.requests, q)
