--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -81,6 +81,8 @@
 	Born int64
 	// Engine is true for a model engine and false for a plain service.
 	Engine bool
+	// Version is the version of the target's software; "" if it is unknown.
+	Version string
 }
 
 // Criteria describes the request that a target is chosen for.
@@ -113,6 +115,7 @@
 	ID      string
 	Address string
 	Born    int64
+	Version string
 	Running int
 	Slots   int
 	// PrefillTokens is the number of prompt tokens that the engine prefills before the
@@ -329,6 +332,7 @@
 		ID:                best.ID,
 		Address:           best.Address,
 		Born:              best.Born,
+		Version:           best.Version,
 		Running:           best.running(),
 		Slots:             best.Slots,
 		PrefillTokens:     best.prefillTokens(c.PromptTokens),
--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -48,6 +48,9 @@
 	Events int
 	// Delay is the time before each event, or before a plain response.
 	Delay time.Duration
+	// Version is the version of the replica's software, which the store lists. Streams of
+	// different versions differ. If empty, it is listed as DefaultVersion.
+	Version string
 
 	listener net.Listener
 	faults   *faults
@@ -256,8 +259,19 @@
 	return fmt.Sprintf("%s %s %s", id, q.Method, q.RequestURI)
 }
 
-// EventText returns event n of a stream, from 1, as replicas send it.
-func EventText(n int) string { return fmt.Sprintf("id: %d\ndata: part %d\n\n", n, n) }
+// DefaultVersion is the version of replicas that have none of their own.
+const DefaultVersion = "v1"
+
+// EventText returns event n of a stream, from 1, as replicas of DefaultVersion send it.
+func EventText(n int) string { return VersionEventText("", n) }
+
+// VersionEventText returns event n of a stream, from 1, as replicas of a version send it.
+func VersionEventText(version string, n int) string {
+	if version == "" || version == DefaultVersion {
+		return fmt.Sprintf("id: %d\ndata: part %d\n\n", n, n)
+	}
+	return fmt.Sprintf("id: %d\ndata: part %d by %s\n\n", n, n, version)
+}
 
 // stream sends the events that follow the request's Last-Event-Id, or all of them. It
 // reports false if the connection must be closed.
@@ -268,7 +282,7 @@
 	}
 	for n := from + 1; n <= r.Events; n++ {
 		time.Sleep(r.Delay)
-		t := EventText(n)
+		t := VersionEventText(r.Version, n)
 		if f == TruncateStream && n == from+3 {
 			t = strings.TrimSuffix(t, "\n\n")
 			write(c, "%x\r\n%s\r\n", len(t), t)
--- a/internal/stand/store.go
+++ b/internal/stand/store.go
@@ -59,9 +59,13 @@
 
 // putReplica writes the key of a replica with a state.
 func (s *Store) putReplica(r *Replica, service, state string) {
+	version := r.Version
+	if version == "" {
+		version = DefaultVersion
+	}
 	s.Put("servers/"+r.ID, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"z1","version":"v1","slots":%d,"state":%q,"cold_remaining_ms":0,"sequence":1}`,
-		service, r.Address(), replicaSlots, state))
+		`{"service":%q,"address":%q,"zone":"z1","version":%q,"slots":%d,"state":%q,"cold_remaining_ms":0,"sequence":1}`,
+		service, r.Address(), version, replicaSlots, state))
 }
 
 // Delete removes a key.
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -126,6 +126,7 @@
 			Slots:      int(r.Slots),
 			Leaving:    r.Leaving,
 			Born:       r.Born,
+			Version:    r.Version,
 		}
 		if v := s.plan.Service(r.Service); v != nil {
 			t.Engine = v.Engine
@@ -170,7 +171,7 @@
 	f.updateList(func(now time.Duration, s *state) {
 		s.roster.Put(now, revision, r)
 		f.telem.Log.Info("target listed", "target", r.Id, "service", r.Service, "address", r.Address,
-			"leaving", r.Leaving, "born", r.Born, "revision", revision)
+			"leaving", r.Leaving, "born", r.Born, "version", r.Version, "revision", revision)
 	})
 }
 
