--- /dev/null
+++ b/core/origin/origin_test.go
@@ -0,0 +1,87 @@
+package origin_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"kingcupstand/core/origin"
+)
+
+const s = time.Second
+
+var chat = origin.Origin{Service: "chat", Version: "v1"}
+
+// A record is kept for a while after its last use, whoever reported it.
+func TestRecordsAreKeptWhileUsed(t *testing.T) {
+	b := origin.New()
+	id := origin.ID("a")
+	b.Add(0, id, chat)
+	b.Merge(20*s, id, chat)
+	for _, c := range []struct {
+		now  time.Duration
+		want bool
+	}{{40 * s, true}, {49 * s, true}, {51 * s, false}} {
+		if o, ok := b.Find(c.now, id); ok != c.want || ok && o != chat {
+			t.Errorf("at %v: got %+v, %v, want %v", c.now, o, ok, c.want)
+		}
+	}
+	if _, ok := b.Find(40*s, origin.ID("b")); ok {
+		t.Error("got a record of a stream that was never recorded")
+	}
+}
+
+func TestRecordsAreBounded(t *testing.T) {
+	b := origin.New()
+	const n = 1 << 17
+	for i := range n {
+		b.Merge(0, origin.ID(fmt.Sprint(i)), chat)
+	}
+	if b.Len() > 1<<16 {
+		t.Errorf("got %d records", b.Len())
+	}
+	if _, ok := b.Find(0, origin.ID(fmt.Sprint(n-1))); !ok {
+		t.Error("the newest record was dropped")
+	}
+}
+
+// A stream of this front is reported more than once, one of a peer or of unknown version never.
+func TestUnreported(t *testing.T) {
+	b := origin.New()
+	b.Add(0, 1, chat)
+	b.Merge(0, 2, chat)
+	b.Add(0, 3, origin.Origin{Service: "chat"})
+	for i, want := range []int{1, 1, 0} {
+		if ss := b.Unreported(); len(ss) != want || want == 1 && ss[0] != (origin.Stream{ID: 1, Origin: chat}) {
+			t.Errorf("heartbeat %d: got %+v, want %d streams", i, ss, want)
+		}
+	}
+}
+
+// The only version is certain once the list has been known, without another version, for as
+// long as records are kept.
+func TestOnlyVersion(t *testing.T) {
+	one, two := map[string][]string{"chat": {"v1", "v1"}}, map[string][]string{"chat": {"v1", "v2"}}
+	for _, c := range []struct {
+		name string
+		do   func(*origin.Table)
+		now  time.Duration
+		want bool
+	}{
+		{"just started", func(b *origin.Table) { b.SetVersions(0, one) }, 29 * s, false},
+		{"one for long", func(b *origin.Table) { b.SetVersions(0, one); b.SetVersions(10*s, one) }, 31 * s, true},
+		{"two", func(b *origin.Table) { b.SetVersions(0, two) }, 40 * s, false},
+		{"two lately", func(b *origin.Table) { b.SetVersions(0, two); b.SetVersions(10*s, one) }, 39 * s, false},
+		{"two long ago", func(b *origin.Table) { b.SetVersions(0, two); b.SetVersions(10*s, one) }, 41 * s, true},
+		{"none listed now", func(b *origin.Table) { b.SetVersions(0, one); b.SetVersions(20*s, nil) }, 40 * s, true},
+		{"list interrupted", func(b *origin.Table) { b.SetVersions(0, one); b.Interrupt(20 * s) }, 40 * s, false},
+		{"unknown version", func(b *origin.Table) { b.SetVersions(0, map[string][]string{"chat": {""}}) }, 40 * s, false},
+		{"longer streams", func(b *origin.Table) { b.SetKeep(60 * s); b.SetVersions(0, one) }, 40 * s, false},
+	} {
+		b := origin.New()
+		c.do(b)
+		if v, ok := b.Only(c.now, "chat"); ok != c.want || ok && v != "v1" {
+			t.Errorf("%s: got %q, %v, want %v", c.name, v, ok, c.want)
+		}
+	}
+}
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -200,9 +200,8 @@
 	return as[:min(len(as), recipients)]
 }
 
-// Sample returns the addresses of a random sample of the live peers, for the next
-// heartbeat to carry.
-func (t *Table) Sample(now time.Duration, r *rand.Rand) []string {
+// Live returns the sorted addresses of the live peers.
+func (t *Table) Live(now time.Duration) []string {
 	var as []string
 	for a := range t.peers {
 		if t.Alive(now, a) {
@@ -210,6 +209,13 @@
 		}
 	}
 	sort.Strings(as)
+	return as
+}
+
+// Sample returns the addresses of a random sample of the live peers, for the next
+// heartbeat to carry.
+func (t *Table) Sample(now time.Duration, r *rand.Rand) []string {
+	as := t.Live(now)
 	r.Shuffle(len(as), func(i, j int) { as[i], as[j] = as[j], as[i] })
 	return as[:min(len(as), sampled)]
 }
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -16,6 +16,7 @@
 	"crypto/sha256"
 	"errors"
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -84,6 +85,19 @@
 	return r.splits[len(r.splits)-1].service
 }
 
+// Services returns the sorted names of the services that the route sends requests to.
+func (r *Route) Services() []string {
+	var ns []string
+	for _, s := range r.splits {
+		ns = append(ns, s.service)
+	}
+	slices.Sort(ns)
+	return slices.Compact(ns)
+}
+
+// HasService reports whether the route sends requests to a service.
+func (r *Route) HasService(name string) bool { return slices.Contains(r.Services(), name) }
+
 // Repeatable reports whether a request may be sent again after it may have run.
 func (r *Route) Repeatable() bool {
 	return r.Kind == Idempotent || (r.Kind == Stream && r.Resumable)
@@ -140,6 +154,31 @@
 	limits     Limits
 }
 
+// LongestStream returns the longest timeout of the streaming routes; 0 if there are none.
+func (p *Plan) LongestStream() time.Duration {
+	var d time.Duration
+	for _, rs := range p.hosts {
+		for _, r := range rs {
+			if r.Kind == Stream {
+				d = max(d, r.Timeout)
+			}
+		}
+	}
+	return d
+}
+
+// MovesRoutes reports whether the plan sends any requests elsewhere than an earlier plan did.
+func (p *Plan) MovesRoutes(earlier *Plan) bool {
+	for host, rs := range p.hosts {
+		for _, r := range rs {
+			if o, ok := earlier.Route(host, r.Prefix); ok && !slices.Equal(r.Services(), o.Services()) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Empty returns a plan without routes and with revision 0, for a front that has received
 // no plan yet.
 func Empty() *Plan { return &Plan{} }
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -104,3 +104,34 @@
 		}
 	})
 }
+
+func TestMovesRoutes(t *testing.T) {
+	old, err := plan.New(document())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		edit func(*spec.Plan)
+		want bool
+	}{
+		"same":          {func(*spec.Plan) {}, false},
+		"other weights": {func(d *spec.Plan) { d.Routes[1].Split[0].Weight = 1 }, false},
+		"route added": {func(d *spec.Plan) {
+			d.Routes = append(d.Routes, &spec.PlanRoute{Name: "z", Host: "z.example", Prefix: "/", Kind: "idempotent", Split: []*spec.PlanSplit{{Service: "web", Weight: 1}}})
+		}, false},
+		"other service": {func(d *spec.Plan) { d.Routes[1].Split[0].Service = "web" }, true},
+	} {
+		d := document()
+		c.edit(d)
+		p, err := plan.New(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := p.MovesRoutes(old); got != c.want {
+			t.Errorf("%s: got %v, want %v", name, got, c.want)
+		}
+	}
+	if old.MovesRoutes(plan.Empty()) {
+		t.Error("first plan: got true, want false")
+	}
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -26,6 +26,11 @@
 // is also left out, for a while, if prefilling the prompt would cause a long gap in the
 // streams that it runs.
 //
+// # Versions
+//
+// Targets of a service may run different versions of their software. A stream may go on only
+// at the version that began it; see Criteria.Pinned.
+//
 // # Slots
 //
 // As far as a front knows, the requests in flight at an engine don't exceed its slots,
@@ -56,6 +61,7 @@
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -102,6 +108,11 @@
 	AllowGaps bool
 	// Exclude holds the IDs of targets that must not be chosen.
 	Exclude []string
+	// Pinned is true if only targets of Version may be chosen, because the request goes on
+	// with a stream that a target of that version has begun. If Version is "", it is unknown
+	// and no target may be chosen.
+	Pinned  bool
+	Version string
 	// NoRetry is true if the request can't be sent again after a failure.
 	NoRetry bool
 	// Oversubscribe is true if the request may be sent to an engine whose free slots
@@ -310,7 +321,7 @@
 	err := ErrNoTarget
 	f := p.fastest(now, c)
 	for _, t := range p.byService[c.Service] {
-		if t.Leaving || contains(c.Exclude, t.ID) || !t.usable(now) {
+		if !c.admits(t) || !t.usable(now) {
 			continue
 		}
 		if !t.hasSlot() && (!c.Oversubscribe || !t.acceptsExtra()) || now < t.fullUntil || !t.limit.Allows(now) || !t.suits(now, c, f) {
@@ -344,7 +355,7 @@
 func (p *Pool) fastest(now time.Duration, c Criteria) times {
 	f := times{firstByte: math.MaxInt64, output: math.MaxInt64}
 	for _, t := range p.byService[c.Service] {
-		if !t.Leaving && !contains(c.Exclude, t.ID) && t.usable(now) {
+		if c.admits(t) && t.usable(now) {
 			f.firstByte = min(f.firstByte, t.predictPrefill(now, c.PromptTokens))
 			f.output = min(f.output, t.predictOutput(c.Events))
 		}
@@ -358,7 +369,7 @@
 func (p *Pool) suspended(now time.Duration, c Criteria) *target {
 	var best *target
 	for _, t := range p.byService[c.Service] {
-		if t.Leaving || t.ownRunning > 0 || contains(c.Exclude, t.ID) || !t.limit.Allows(now) {
+		if !c.admits(t) || t.ownRunning > 0 || !t.limit.Allows(now) {
 			continue
 		}
 		if best == nil || t.suspendedUntil < best.suspendedUntil {
@@ -368,13 +379,17 @@
 	return best
 }
 
-func contains(ids []string, id string) bool {
-	for _, i := range ids {
-		if i == id {
-			return true
-		}
+// admits reports whether a target may be chosen at all, whatever its load.
+func (c Criteria) admits(t *target) bool {
+	if c.Pinned && (t.Version == "" || t.Version != c.Version) {
+		return false
 	}
-	return false
+	return !t.Leaving && !slices.Contains(c.Exclude, t.ID)
+}
+
+// HasVersion reports whether a service has a target of a version that is not leaving.
+func (p *Pool) HasVersion(service, version string) bool {
+	return slices.ContainsFunc(p.byService[service], Criteria{Pinned: true, Version: version}.admits)
 }
 
 // Parameters of the score.
--- a/core/queue/class.go
+++ b/core/queue/class.go
@@ -27,9 +27,12 @@
 	value T
 }
 
-type classKey struct{ tierRank, routeRank int }
+type classKey struct {
+	tierRank, routeRank int
+	pin                 string
+}
 
-// class holds the requests of one tier rank and route rank.
+// class holds the requests of one tier rank, route rank and pin.
 type class[T any] struct {
 	key classKey
 	// short holds the requests that are expected to occupy their slot no longer than the
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -29,6 +29,9 @@
 // is, the served share of a class that has queued requests doesn't stay below a quarter of
 // that of all requests, measured over more than a burst: such a class goes first.
 //
+// Requests that only targets of one version can run form classes of their own, so that they
+// don't hold up others while those targets are busy.
+//
 // Within a class, requests that can still meet their latency goal come before late
 // ones. Among those that can, short requests come before long ones, the shortest first, but
 // over more than a burst long ones are served as often. Long requests, those of unknown
@@ -56,6 +59,8 @@
 	TierRank int
 	// RouteRank is the rank of the route within the tier; 0 is the most urgent.
 	RouteRank int
+	// Pin is the version of targets that alone can run the request; "" if any can.
+	Pin string
 	// Late is true if the request can no longer meet its latency goal.
 	Late bool
 	// Arrived is the time of arrival, on the clock of the now arguments.
@@ -119,14 +124,15 @@
 
 // Push adds a request with the value v.
 func (q *Queue[T]) Push(now time.Duration, k SortKey, v T) *Handle[T] {
-	g := classKey{k.TierRank, k.RouteRank}
+	g := classKey{k.TierRank, k.RouteRank, k.Pin}
 	c := q.classes[g]
 	if c == nil {
+		q.removePinned()
 		c = newClass[T](g)
 		q.classes[g] = c
 		q.ordered = append(q.ordered, c)
 		slices.SortFunc(q.ordered, func(a, b *class[T]) int {
-			return cmp.Or(a.key.tierRank-b.key.tierRank, a.key.routeRank-b.key.routeRank)
+			return cmp.Or(a.key.tierRank-b.key.tierRank, a.key.routeRank-b.key.routeRank, cmp.Compare(a.key.pin, b.key.pin))
 		})
 	}
 	q.sequence++
@@ -138,6 +144,17 @@
 	return &Handle[T]{class: c, lane: l, node: l.push(now, item[T]{key: k, value: v}), key: k}
 }
 
+// removePinned removes the empty classes of pinned requests, as versions come and go.
+func (q *Queue[T]) removePinned() {
+	q.ordered = slices.DeleteFunc(q.ordered, func(c *class[T]) bool {
+		if c.key.pin == "" || c.len() > 0 {
+			return false
+		}
+		delete(q.classes, c.key)
+		return true
+	})
+}
+
 // Remove removes a request. It reports false if the request is not queued.
 func (q *Queue[T]) Remove(h *Handle[T]) bool { return h.lane.heap.Remove(h.node) }
 
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -212,3 +212,31 @@
 		t.Errorf("expected wait of a less urgent request behind them: got %v, want more than 110ms", w)
 	}
 }
+
+// A request that can only go to targets of one version doesn't hold up those behind it, and
+// classes of versions that are gone are dropped.
+func TestPinnedRequestsAreHeadsOfTheirOwn(t *testing.T) {
+	q := queue.New[string]()
+	for i := range 3 {
+		for _, pin := range []string{"v1", "v2", ""} {
+			q.Push(0, queue.SortKey{Pin: pin, Arrived: time.Duration(i)}, pin)
+		}
+	}
+	pins := map[string]bool{}
+	for _, h := range q.Heads(0) {
+		pins[h.Value] = true
+	}
+	if len(pins) != 3 || q.Len() != 9 {
+		t.Errorf("got heads %v of %d requests, want one for each version and one for others", pins, q.Len())
+	}
+	if c := q.CountByPriority(); c[queue.Priority{}] != 9 {
+		t.Errorf("got %v, want 9 requests of one priority", c)
+	}
+	for range 9 {
+		q.Pop(time.Second)
+	}
+	q.Push(2*time.Second, queue.SortKey{Pin: "v3"}, "v3")
+	if hs := q.Heads(2 * time.Second); len(hs) != 1 || hs[0].Value != "v3" {
+		t.Errorf("got %d heads, want v3 only", len(hs))
+	}
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -126,8 +126,12 @@
 		return false
 	}
 	l.confirmed = max(l.confirmed, now-age)
+	old := l.records
 	l.records = map[string]*record{}
 	for _, r := range d.Replicas {
+		if e := old[r.Id]; e != nil && r.Version == "" {
+			r.Version = e.replica.Version // a peer of an earlier build doesn't know it
+		}
 		l.put(r)
 		if r.VanishedMs > 0 {
 			e := l.records[r.Id]
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -129,3 +129,18 @@
 	l.ApplySnapshot(now, directory(3, "a"))
 	checkIDs(t, l, now+roster.MissingGrace, "a")
 }
+
+// A peer of an earlier build sends lists without versions. What is known of a target stays, as
+// the version of a process doesn't change.
+func TestListOfPeerKeepsVersions(t *testing.T) {
+	l := roster.New()
+	d := directory(1, "a")
+	d.Replicas[0].Version = "v1"
+	l.ApplySnapshot(0, d)
+	l.AdoptPeer(time.Second, 0, directory(2, "a", "b"))
+	for _, r := range l.Replicas(time.Second) {
+		if want := map[string]string{"a": "v1", "b": ""}[r.Id]; r.Version != want {
+			t.Errorf("target %s: got version %q, want %q", r.Id, r.Version, want)
+		}
+	}
+}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -186,7 +186,7 @@
 	q := s.queue(r.Criteria.Service)
 	q.demand, q.updated = q.demandAt(now)+1/demandTimeConstant.Seconds(), now
 	w := &Waiter[T]{Value: v, request: r, enqueued: now}
-	w.handle = q.waiters.Push(now, queue.SortKey{TierRank: r.TierRank, RouteRank: r.RouteRank, Late: r.Late, Hold: r.Hold, Arrived: now}, w)
+	w.handle = q.waiters.Push(now, queue.SortKey{TierRank: r.TierRank, RouteRank: r.RouteRank, Pin: r.Criteria.Version, Late: r.Late, Hold: r.Hold, Arrived: now}, w)
 	return w
 }
 
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -6,6 +6,7 @@
 //
 //	own := share.Assigned("192.0.2.1:7600", fronts, targets)
 //	n := own["target-1"]
+//	keepers := share.Nearest(key, names, 3)
 //
 // Each slot is assigned by weighted rendezvous hashing, with the demand of each front as
 // its weight. Fronts with the same view of fronts and targets therefore compute the same
@@ -15,7 +16,9 @@
 package share
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -70,6 +73,26 @@
 	return name
 }
 
+// Nearest returns the n names with the highest scores for a key, or all if there are fewer.
+// Whoever knows the same names gets the same result, and a name that comes or goes changes it
+// by one place.
+func Nearest(key uint64, names []string, n int) []string {
+	type scored struct {
+		name  string
+		score uint64
+	}
+	ss := make([]scored, 0, len(names))
+	for _, a := range names {
+		ss = append(ss, scored{a, mix(key ^ xxhash.Sum64String(a))})
+	}
+	slices.SortFunc(ss, func(a, b scored) int { return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name)) })
+	near := make([]string, 0, n)
+	for _, a := range ss[:min(n, len(ss))] {
+		near = append(near, a.name)
+	}
+	return near
+}
+
 // mix spreads the bits of a hash. It is the 64-bit finalizer of MurmurHash3.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -87,3 +88,22 @@
 		share.Assigned("front-3", fs, ts)
 	}
 }
+
+// The nearest names are the same in any order of the names, and change by one place if a name
+// goes.
+func TestNearest(t *testing.T) {
+	ns := []string{"a", "b", "c", "d", "e", "f"}
+	for key := range uint64(50) {
+		near := share.Nearest(key, ns, 3)
+		if got := share.Nearest(key, []string{"f", "e", "d", "c", "b", "a"}, 3); !slices.Equal(got, near) {
+			t.Fatalf("key %d: got %v and %v", key, near, got)
+		}
+		rest := slices.DeleteFunc(slices.Clone(ns), func(n string) bool { return n == near[0] })
+		if got := share.Nearest(key, rest, 3); !slices.Equal(got[:2], near[1:]) {
+			t.Errorf("key %d without %s: got %v after %v", key, near[0], got, near)
+		}
+	}
+	if got := share.Nearest(1, ns[:2], 3); len(got) != 2 {
+		t.Errorf("got %v, want both names", got)
+	}
+}
--- a/io/front/criteria.go
+++ b/io/front/criteria.go
@@ -22,8 +22,12 @@
 		Exclude:      q.excluded,
 		NoRetry:      !q.route.Repeatable(),
 	}
-	if q.stream != nil {
+	switch {
+	case q.stream != nil:
 		c.Events = max(0, c.Events-float64(q.stream.events))
+		c.Pinned, c.Version = true, q.stream.version
+	case q.origin != nil:
+		c.Pinned, c.Version = true, q.origin.Version
 	}
 	return c
 }
--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -68,6 +70,9 @@
 			f.telem.Log.Info("dependency lost", "dependency", "peer", "peer", a)
 		}
 	}
+	if s.roster.Age(now) > maxListAge {
+		s.origins.Interrupt(now)
+	}
 	live, all := s.peers.Count(now)
 	s.quota.SetFronts(now, live, all)
 	s.budget.SetFronts(all)
@@ -150,7 +155,12 @@
 			Service: k.Service, Rank: uint32(k.Priority.TierRank), RouteRank: uint32(k.Priority.RouteRank), Late: k.Priority.Late, Count: uint32(n),
 		})
 	}
-	f.gossip.Send(m, s.peers.Recipients(s.random))
+	streams, keepers := f.reportOrigins(now, s)
+	f.gossip.Send(m, slices.DeleteFunc(s.peers.Recipients(s.random), func(a string) bool { return keepers[a] }))
+	if len(keepers) > 0 {
+		m.Streams = streams
+		f.gossip.Send(m, slices.Collect(maps.Keys(keepers)))
+	}
 }
 
 // receive applies a peer's heartbeat unless it is a duplicate or out of order.
@@ -179,6 +189,7 @@
 	}
 	s.pool.SetPeer(m.Peer, us)
 	f.mergeLimits(now, s, m.Peer, m.Limits)
+	f.mergeOrigins(now, s, m.Streams)
 	ws := quota.Uses{}
 	for _, w := range m.Workspaces {
 		ws[w.Workspace] = quota.Use{Used: w.Used, Level: w.Level}
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -64,9 +64,11 @@
 	}
 }
 
-// recordProcess exports the age of the target list and the memory of the process.
+// recordProcess exports the age of the target list, the number of streams whose origin is known
+// and the memory of the process.
 func (m *meter) recordProcess(now time.Duration, s *state) {
 	m.telem.Scope.Gauge("target_list_age_seconds").Update(s.roster.Age(now).Seconds())
+	m.telem.Scope.Gauge("stream_origins").Update(float64(s.origins.Len()))
 	v := []metrics.Sample{{Name: "/memory/classes/total:bytes"}}
 	metrics.Read(v)
 	m.telem.Scope.Gauge("memory_bytes").Update(float64(v[0].Value.Uint64()))
--- /dev/null
+++ b/io/front/origin.go
@@ -0,0 +1,179 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"kingcupstand/core/origin"
+	"kingcupstand/core/plan"
+	"kingcupstand/core/share"
+	"kingcupstand/io/actor"
+	"kingcupstand/schema/wire"
+)
+
+const (
+	// keepers is how many peers are told what began a stream, and asked when it is resumed.
+	keepers = 4
+	// originRetry is the Retry-After if it is not known what began a stream. Until then the
+	// heartbeats of fronts that know it have arrived, or a front has been reached again.
+	originRetry = time.Second
+	// versionRetry is the Retry-After if no target of the version is left. A target that has
+	// crashed starts again with its version within a few seconds.
+	versionRetry = 2 * time.Second
+)
+
+// resumes reports whether the caller resumes a stream that an earlier request has begun.
+func (q *request) resumes() bool {
+	return q.route.Kind == plan.Stream && (q.call.Resumes != "" || q.call.LastEventID != "")
+}
+
+// findOrigin finds out which service and version the resumed stream began at, as only these
+// can go on with it. It returns the status, reason and Retry-After of a refusal if that isn't
+// known, or if nothing of that version is left, or status 0.
+func (q *request) findOrigin(ctx context.Context) (status int, reason string, retryAfter time.Duration) {
+	if !q.resumes() {
+		return 0, "", 0
+	}
+	o, ok := q.knownOrigin()
+	if !ok && q.call.Resumes != "" {
+		o, ok = q.front.askOrigin(ctx, origin.ID(q.call.Resumes))
+	}
+	if !ok {
+		if o.Version, ok = q.onlyVersion(); !ok {
+			return http.StatusServiceUnavailable, "unknown-version", originRetry
+		}
+		o.Service = q.service
+	}
+	q.origin = &o
+	if !q.route.HasService(o.Service) {
+		return http.StatusServiceUnavailable, "service-changed", versionRetry
+	}
+	q.service = o.Service
+	if !actor.Ask(q.front.loop, func(_ time.Duration, s *state) bool { return s.pool.HasVersion(o.Service, o.Version) }) {
+		q.summary.detail = "version " + o.Version
+		return http.StatusServiceUnavailable, "version-gone", versionRetry
+	}
+	return 0, "", 0
+}
+
+// knownOrigin returns the record of the resumed stream, if this front has one.
+func (q *request) knownOrigin() (o origin.Origin, ok bool) {
+	if q.call.Resumes == "" {
+		return o, false
+	}
+	o = actor.Ask(q.front.loop, func(now time.Duration, s *state) origin.Origin {
+		o, _ := s.origins.Find(now, origin.ID(q.call.Resumes))
+		return o
+	})
+	return o, o.Version != ""
+}
+
+// onlyVersion returns the version of the service if the stream can't have begun at any other
+// version or service.
+func (q *request) onlyVersion() (version string, ok bool) {
+	if len(q.route.Services()) != 1 {
+		return "", false
+	}
+	version = actor.Ask(q.front.loop, func(now time.Duration, s *state) string {
+		v, _ := s.origins.Only(now, q.service)
+		return v
+	})
+	return version, version != ""
+}
+
+// recordOrigin records what began the stream that is about to be forwarded, or goes on with
+// it, if callers may resume it.
+func (q *request) recordOrigin(version string) {
+	if !q.route.Resumable {
+		return
+	}
+	id, o := origin.ID(q.call.ID), origin.Origin{Service: q.service, Version: version}
+	if q.call.Resumes != "" {
+		id = origin.ID(q.call.Resumes)
+	}
+	q.front.loop.Post(func(now time.Duration, s *state) {
+		s.origins.Add(now, id, o)
+		s.changed = true
+	})
+}
+
+// askOrigin asks the keepers of a stream what began it, all at once, and takes the first
+// answer.
+func (f *Front) askOrigin(ctx context.Context, id uint64) (origin.Origin, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ps := actor.Ask(f.loop, func(now time.Duration, s *state) []string { return share.Nearest(id, s.peers.Live(now), keepers) })
+	found := make(chan origin.Origin, len(ps))
+	for _, p := range ps {
+		go f.runAsk(ctx, p, id, found)
+	}
+	for range ps {
+		if o := <-found; o.Version != "" {
+			f.loop.Post(func(now time.Duration, s *state) { s.origins.Merge(now, id, o) })
+			return o, true
+		}
+	}
+	return origin.Origin{}, false
+}
+
+// runAsk asks a peer and sends its answer to found, which has room for it: the zero Origin if
+// the peer doesn't know or can't be asked.
+func (f *Front) runAsk(ctx context.Context, peer string, id uint64, found chan<- origin.Origin) {
+	r, err := f.gossip.Origin(ctx, peer, &wire.OriginRequest{Stream: id})
+	if err != nil && ctx.Err() == nil {
+		f.log("origin", "fetch of a stream's origin from peer failed", "peer", peer, "error", err.Error())
+	}
+	found <- origin.Origin{Service: r.GetService(), Version: r.GetVersion()}
+}
+
+// Origin implements wire.DRPCFrontServer.
+func (f *Front) Origin(_ context.Context, q *wire.OriginRequest) (*wire.OriginReply, error) {
+	o := actor.Ask(f.loop, func(now time.Duration, s *state) origin.Origin {
+		o, _ := s.origins.Find(now, q.Stream)
+		return o
+	})
+	return &wire.OriginReply{Service: o.Service, Version: o.Version}, nil
+}
+
+// reportOrigins returns the streams that peers are still to be told of, and the peers.
+func (f *Front) reportOrigins(now time.Duration, s *state) (streams []*wire.StreamOrigin, to map[string]bool) {
+	to = map[string]bool{}
+	by := map[origin.Origin]*wire.StreamOrigin{}
+	live := s.peers.Live(now)
+	for _, v := range s.origins.Unreported() {
+		m := by[v.Origin]
+		if m == nil {
+			m = &wire.StreamOrigin{Service: v.Service, Version: v.Version}
+			by[v.Origin] = m
+			streams = append(streams, m)
+		}
+		m.Streams = append(m.Streams, v.ID)
+		for _, p := range share.Nearest(v.ID, live, keepers) {
+			to[p] = true
+		}
+	}
+	return streams, to
+}
+
+// mergeOrigins records the streams that a peer's heartbeat reports.
+func (f *Front) mergeOrigins(now time.Duration, s *state, ms []*wire.StreamOrigin) {
+	for _, m := range ms {
+		for _, id := range m.Streams {
+			s.origins.Merge(now, id, origin.Origin{Service: m.Service, Version: m.Version})
+		}
+	}
+}
+
+// maxListAge is the age of the target list from which this front may have missed versions
+// that were listed meanwhile.
+const maxListAge = 5 * time.Second
+
+// trackVersions tells which versions the target list has.
+func (f *Front) trackVersions(now time.Duration, s *state) {
+	listed := map[string][]string{}
+	for _, r := range s.roster.Replicas(now) {
+		listed[r.Service] = append(listed[r.Service], r.Version)
+	}
+	s.origins.SetVersions(now, listed)
+}
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -13,6 +13,7 @@
 
 	"go.opentelemetry.io/otel/trace"
 
+	"kingcupstand/core/origin"
 	"kingcupstand/core/plan"
 	"kingcupstand/core/pool"
 	"kingcupstand/io/actor"
@@ -93,6 +94,8 @@
 	// fallback is a server error from a target, which is forwarded if no other target
 	// answers the request.
 	fallback *response
+	// origin is what began the stream that the caller resumes; nil for a new stream.
+	origin *origin.Origin
 	// stream is the streamed response that the caller is receiving; nil before its start.
 	stream  *stream
 	summary summary
@@ -128,7 +131,7 @@
 
 // run processes the request up to its response.
 func (q *request) run(ctx context.Context) {
-	if s, reason, retryAfter := q.admit(); s != 0 {
+	if s, reason, retryAfter := q.admit(ctx); s != 0 {
 		q.refuse(s, reason, retryAfter)
 		return
 	}
@@ -143,7 +146,7 @@
 
 // admit decodes the request, checks whether it may be queued and charges its cost. It
 // returns the status, reason and Retry-After of a refusal, or status 0.
-func (q *request) admit() (status int, reason string, retryAfter time.Duration) {
+func (q *request) admit(ctx context.Context) (status int, reason string, retryAfter time.Duration) {
 	var err error
 	if q.call, err = q.front.codec.DecodeCall(q.http.Header); err != nil {
 		q.summary.detail = err.Error()
@@ -163,6 +166,9 @@
 	if q.closing() {
 		return http.StatusServiceUnavailable, "stopping", stoppingRetry
 	}
+	if s, r, after := q.findOrigin(ctx); s != 0 {
+		return s, r, after
+	}
 	return q.charge()
 }
 
@@ -186,6 +192,12 @@
 		q.tierRank = w.Rank
 	}
 	q.service = r.Service(fraction(q.call.ID))
+	if q.origin != nil {
+		if !r.HasService(q.origin.Service) {
+			return http.StatusServiceUnavailable, "service-changed"
+		}
+		q.service = q.origin.Service
+	}
 	return 0, ""
 }
 
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"kingcupstand/core/length"
+	"kingcupstand/core/origin"
 	"kingcupstand/core/peers"
 	"kingcupstand/core/plan"
 	"kingcupstand/core/pool"
@@ -33,6 +34,7 @@
 	disconnected bool
 	spent        *spent.Estimator
 	length       *length.Estimator
+	origins      *origin.Table
 	// slotsAssigned is when slots were last assigned to fronts.
 	slotsAssigned time.Duration
 	// creditsRefilled is when the credits for sends beyond own slots were last refilled.
@@ -78,6 +80,7 @@
 		random:    r,
 		spent:     spent.New(),
 		length:    length.New(),
+		origins:   origin.New(),
 		reachable: map[string]bool{},
 	}
 }
@@ -101,8 +104,12 @@
 			return false
 		}
 		old := s.plan.Revision()
+		if p.MovesRoutes(s.plan) {
+			s.origins.Interrupt(now)
+		}
 		s.plan = p
 		s.quota.Configure(now, p.Workspaces())
+		s.origins.SetKeep(2 * p.LongestStream())
 		f.plan.Store(p)
 		f.applyTargets(now, s)
 		s.changed = true
@@ -134,6 +141,7 @@
 		ts = append(ts, t)
 	}
 	s.pool.SetTargets(ts)
+	f.trackVersions(now, s)
 	f.assignSlots(now, s)
 	f.meter.targets.Update(float64(len(ts)))
 	f.dispatchAll(now, s)
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -17,6 +17,8 @@
 // stream is a streamed response to the caller. It may be continued by another target
 // after a failure; the caller sees one response.
 type stream struct {
+	// version is the version of the target that began it.
+	version string
 	// last is the id of the last event that was forwarded.
 	last string
 	// events counts the events that were forwarded.
@@ -43,7 +45,7 @@
 			seen += len(es)
 			g.add(len(es))
 			e.stallTimer.Reset(q.streamStall())
-			q.open(a)
+			q.open(a, e.choice.Version)
 			if werr := q.forward(es); werr != nil {
 				e.outcome = pool.Neutral
 				e.prompt = 0
@@ -64,19 +66,21 @@
 		}
 		e.keep(a)
 		e.outcome = pool.Good
-		q.open(a)
+		q.open(a, e.choice.Version)
 		q.observeLength()
 		q.finish(http.StatusOK, "answered")
 		return result{done: true}
 	}
 }
 
-// open writes the status and headers, once, from the first target that has sent an event.
-func (q *request) open(a *http.Response) {
+// open writes the status and headers, once, from the first target that has sent an event, and
+// records its version.
+func (q *request) open(a *http.Response, version string) {
 	if q.stream != nil {
 		return
 	}
-	q.stream = &stream{}
+	q.stream = &stream{version: version}
+	q.recordOrigin(version)
 	h := q.writer.Header()
 	for k, v := range responseHeaders(a.Header) {
 		h[k] = v
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -14,6 +14,7 @@
 //	go b.Run(func(m *wire.Beat) { ... })
 //	b.Send(message, []string{"192.0.2.7:7600"})
 //	reply, err := b.Fetch(ctx, "192.0.2.7:7600", request)
+//	origin, err := b.Origin(ctx, "192.0.2.7:7600", request)
 //	err = b.Close()
 package gossip
 
@@ -40,6 +41,8 @@
 	maxDatagram = 64 << 10
 	// fetchTimeout is ample for a document of a megabyte between data centres.
 	fetchTimeout = 700 * time.Millisecond
+	// originTimeout is a small part of the time that callers wait for a stream to go on.
+	originTimeout = 200 * time.Millisecond
 )
 
 // Transport sends and receives heartbeats and fetches documents. It is safe for concurrent
@@ -135,17 +138,31 @@
 // Fetch fetches documents from a peer that are newer than the revisions in q. It fails
 // after fetchTimeout at the latest.
 func (b *Transport) Fetch(ctx context.Context, peer string, q *wire.FetchRequest) (*wire.FetchReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	return call(ctx, peer, fetchTimeout, func(ctx context.Context, c wire.DRPCFrontClient) (*wire.FetchReply, error) {
+		return c.Fetch(ctx, q)
+	})
+}
+
+// Origin asks a peer what began a stream. It fails after originTimeout at the latest.
+func (b *Transport) Origin(ctx context.Context, peer string, q *wire.OriginRequest) (*wire.OriginReply, error) {
+	return call(ctx, peer, originTimeout, func(ctx context.Context, c wire.DRPCFrontClient) (*wire.OriginReply, error) {
+		return c.Origin(ctx, q)
+	})
+}
+
+// call calls a peer on a connection of its own.
+func call[T any](ctx context.Context, peer string, timeout time.Duration, f func(context.Context, wire.DRPCFrontClient) (T, error)) (r T, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	d := net.Dialer{}
 	n, err := d.DialContext(ctx, "tcp4", peer)
 	if err != nil {
-		return nil, fmt.Errorf("connect to peer: %w", err)
+		return r, fmt.Errorf("connect to peer: %w", err)
 	}
 	c := drpcconn.New(n)
-	r, err := wire.NewDRPCFrontClient(c).Fetch(ctx, q)
+	r, err = f(ctx, wire.NewDRPCFrontClient(c))
 	if err = errors.Join(err, c.Close()); err != nil {
-		return nil, fmt.Errorf("fetch from %s: %w", peer, err)
+		return r, fmt.Errorf("call %s: %w", peer, err)
 	}
 	return r, nil
 }
--- a/io/gossip/parse.go
+++ b/io/gossip/parse.go
@@ -17,6 +17,9 @@
 // maxCount is the largest count in a heartbeat; no front has as many requests.
 const maxCount = 1 << 24
 
+// maxName is the length in bytes of the longest name in a heartbeat. Names are kept.
+const maxName = 200
+
 // Parse decodes and checks a heartbeat. Numbers that are not finite or far too large are
 // refused: they would corrupt the assignment of slots, and the levels of allowances would
 // stay wrong even when later heartbeats are valid.
@@ -48,6 +51,11 @@
 			return nil, fmt.Errorf("%w: limit of %v requests a second", errInvalid, l.GetPerSecond())
 		}
 	}
+	for _, o := range m.Streams {
+		if o.Version == "" || len(o.Version) > maxName || o.Service == "" || len(o.Service) > maxName {
+			return nil, fmt.Errorf("%w: streams of service %.40q, version %.40q", errInvalid, o.Service, o.Version)
+		}
+	}
 	for _, w := range m.Workspaces {
 		// A level may be below 0, and so may the usage for a moment after a refund.
 		if !inRange(w.Used) || !inRange(w.Level) {
--- a/io/gossip/parse_test.go
+++ b/io/gossip/parse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -68,6 +69,8 @@
 		"demand infinite":    {Peer: peer, Demands: []*wire.ServiceDemand{{PerSecond: math.Inf(1)}}},
 		"demand negative":    {Peer: peer, Demands: []*wire.ServiceDemand{{PerSecond: -1}}},
 		"usage not a number": {Peer: peer, Workspaces: []*wire.WorkspaceUse{{Used: math.NaN()}}},
+		"version missing":    {Peer: peer, Streams: []*wire.StreamOrigin{{Service: "s", Streams: []uint64{1}}}},
+		"version too long":   {Peer: peer, Streams: []*wire.StreamOrigin{{Service: "s", Version: strings.Repeat("v", 1000)}}},
 		"limit not a number": {Peer: peer, Limits: []*wire.TargetLimit{{PerSecond: proto.Float64(math.NaN())}}},
 		"limit negative":     {Peer: peer, Limits: []*wire.TargetLimit{{PerSecond: proto.Float64(-1)}}},
 		"level infinite":     {Peer: peer, Workspaces: []*wire.WorkspaceUse{{Level: math.Inf(-1)}}},
