--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -387,10 +387,8 @@
 	return !t.Leaving && !slices.Contains(c.Exclude, t.ID)
 }
 
-// HasVersion reports whether a service has a target of a version that is not leaving.
-func (p *Pool) HasVersion(service, version string) bool {
-	return slices.ContainsFunc(p.byService[service], Criteria{Pinned: true, Version: version}.admits)
-}
+// Admits reports whether there is a target that may be chosen once it has a free slot.
+func (p *Pool) Admits(c Criteria) bool { return slices.ContainsFunc(p.byService[c.Service], c.admits) }
 
 // Parameters of the score.
 const (
--- a/core/pool/version_test.go
+++ b/core/pool/version_test.go
@@ -35,7 +35,14 @@
 			}
 		}
 	}
-	if p := newPool(1, a, u); !p.HasVersion("llm", "v1") || p.HasVersion("llm", "v2") || p.HasVersion("llm", "") {
-		t.Error("HasVersion: want only v1")
+	p := newPool(1, a, u)
+	for _, c := range []struct {
+		version string
+		exclude []string
+		want    bool
+	}{{"v1", nil, true}, {"v2", nil, false}, {"", nil, false}, {"v1", []string{"a"}, false}} {
+		if got := p.Admits(pool.Criteria{Service: "llm", Pinned: true, Version: c.version, Exclude: c.exclude}); got != c.want {
+			t.Errorf("version %q without %v: got %v, want %v", c.version, c.exclude, got, c.want)
+		}
 	}
 }
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -50,7 +50,8 @@
 		return http.StatusServiceUnavailable, "service-changed", versionRetry
 	}
 	q.service = o.Service
-	if !actor.Ask(q.front.loop, func(_ time.Duration, s *state) bool { return s.pool.HasVersion(o.Service, o.Version) }) {
+	c := q.criteria()
+	if !actor.Ask(q.front.loop, func(_ time.Duration, s *state) bool { return s.pool.Admits(c) }) {
 		q.summary.detail = "version " + o.Version
 		return http.StatusServiceUnavailable, "version-gone", versionRetry
 	}
--- a/io/front/queue.go
+++ b/io/front/queue.go
@@ -14,6 +14,7 @@
 	errMaxWait      = errors.New("no slot within the maximum wait")
 	errOverload     = errors.New("expected wait exceeds the maximum wait")
 	errDisconnected = errors.New("caller disconnected")
+	errVersionGone  = errors.New("no target is left of the version that began the stream")
 )
 
 // pending is what the scheduler holds for a queued request.
@@ -35,13 +36,17 @@
 }
 
 // acquire queues the request and waits for a slot, at most for the given time. It returns
-// at once if the scheduler sheds the request because its expected wait is longer.
+// at once if the scheduler sheds the request because its expected wait is longer, or if no
+// target may go on with its stream.
 func (q *request) acquire(ctx context.Context, w pool.Criteria, limit time.Duration) grant {
 	f := q.front
 	p := &pending{granted: make(chan grant, 1)}
 	var waiter *sched.Waiter[*pending]
 	a := sched.Request{Criteria: w, TierRank: q.tierRank, RouteRank: q.route.Rank, Late: q.late, Hold: q.expectedHold, MaxWait: limit, TimeLeft: time.Until(q.deadline)}
 	refused := actor.Ask(f.loop, func(now time.Duration, s *state) *grant {
+		if w.Pinned && !s.pool.Admits(w) {
+			return &grant{err: errVersionGone, refusal: sched.Refusal{RetryAfter: versionRetry}}
+		}
 		waiter = s.sched.Enqueue(now, a, p)
 		s.changed = true
 		f.dispatchQueued(now, s, w.Service)
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -433,6 +433,8 @@
 		reason = "no-capacity"
 	case errors.Is(err, errStopped):
 		reason = "stopping"
+	case errors.Is(err, errVersionGone):
+		reason = "version-gone"
 	}
 	if err != nil && q.summary.detail == "" {
 		q.summary.detail = err.Error()
