io/front: a front that starts is ready once a peer has told it the limits of targets (LIMIT)

A front that starts knew no limit until the first heartbeat of a peer, up to 300 ms after it took its first connections, and could fill the slots of a target that takes a few requests a second. It now reports itself ready when a heartbeat has arrived, or after 500 ms.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -43,6 +43,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,6 +101,9 @@
 	primaryWatcher atomic.Bool
 	// stopStarted is when the shutdown started; nil before.
 	stopStarted atomic.Pointer[time.Time]
+	// started is when Run was called, and joined is true once a peer's heartbeat has arrived.
+	started time.Time
+	joined  atomic.Bool
 }
 
 var (
@@ -134,6 +138,7 @@
 // requests were aborted during a shutdown, and otherwise the error of the server that
 // failed.
 func (f *Front) Run(ctx context.Context, stop <-chan struct{}) error {
+	f.started = time.Now()
 	var err error
 	if f.gossip, err = gossip.New(f.settings.Peer, f.telem.Log); err != nil {
 		return err
@@ -242,9 +247,20 @@
 	return ls, nil
 }
 
+// joinTimeout is how long a front that starts waits for a peer's heartbeat before it reports
+// itself ready all the same. Peers answer its own first heartbeat within about 300 ms.
+const joinTimeout = 500 * time.Millisecond
+
+// informed reports whether the front knows what its peers know of limits of targets and usage
+// of allowances, or there is no peer to learn it from.
+func (f *Front) informed() bool {
+	return f.joined.Load() || time.Since(f.started) >= joinTimeout ||
+		!slices.ContainsFunc(f.settings.Seeds, func(a string) bool { return a != f.settings.Peer })
+}
+
 // ready handles readiness checks: 200 if the front accepts new connections, else 503.
 func (f *Front) ready(w http.ResponseWriter, _ *http.Request) {
-	if f.stopping.Load() || f.plan.Load().Revision() == 0 {
+	if f.stopping.Load() || f.plan.Load().Revision() == 0 || !f.informed() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -177,6 +177,7 @@
 			f.telem.Log.Info("dependency regained", "dependency", "peer", "peer", m.Peer, "incarnation", m.Incarnation, "plan", m.Plan)
 		}
 		f.applyHeartbeat(now, s, m)
+		f.joined.Store(true)
 	})
 }
 
