--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -35,15 +35,19 @@
 	if !q.resumes() {
 		return 0, "", 0
 	}
-	o, ok := q.knownOrigin()
-	if !ok && q.call.Resumes != "" {
-		o, ok = q.front.askOrigin(ctx, origin.ID(q.call.Resumes))
+	r := &wire.OriginRequest{}
+	if q.call.Resumes != "" {
+		r.Stream = origin.ID(q.call.Resumes)
 	}
-	if !ok {
-		if o.Version, ok = q.onlyVersion(); !ok {
-			return http.StatusServiceUnavailable, "unknown-version", originRetry
-		}
-		o.Service = q.service
+	if len(q.route.Services()) == 1 {
+		r.Service = q.service
+	}
+	o := actor.Ask(q.front.loop, func(now time.Duration, s *state) origin.Origin { return s.findOrigin(now, r) })
+	if o.Version == "" {
+		o = q.front.askOrigin(ctx, r)
+	}
+	if o.Version == "" {
+		return http.StatusServiceUnavailable, "unknown-version", originRetry
 	}
 	q.origin = &o
 	if !q.route.HasService(o.Service) {
@@ -58,29 +62,16 @@
 	return 0, "", 0
 }
 
-// knownOrigin returns the record of the resumed stream, if this front has one.
-func (q *request) knownOrigin() (o origin.Origin, ok bool) {
-	if q.call.Resumes == "" {
-		return o, false
-	}
-	o = actor.Ask(q.front.loop, func(now time.Duration, s *state) origin.Origin {
-		o, _ := s.origins.Find(now, origin.ID(q.call.Resumes))
+// findOrigin returns what this front knows of the origin of a stream: its record, or the only
+// version that the stream can have begun at. It returns the zero Origin if it knows neither.
+func (s *state) findOrigin(now time.Duration, r *wire.OriginRequest) origin.Origin {
+	if o, ok := s.origins.Find(now, r.Stream); ok && r.Stream != 0 {
 		return o
-	})
-	return o, o.Version != ""
-}
-
-// onlyVersion returns the version of the service if the stream can't have begun at any other
-// version or service.
-func (q *request) onlyVersion() (version string, ok bool) {
-	if len(q.route.Services()) != 1 {
-		return "", false
-	}
-	version = actor.Ask(q.front.loop, func(now time.Duration, s *state) string {
-		v, _ := s.origins.Only(now, q.service)
-		return v
-	})
-	return version, version != ""
+	}
+	if v, ok := s.origins.Only(now, r.Service); ok {
+		return origin.Origin{Service: r.Service, Version: v}
+	}
+	return origin.Origin{}
 }
 
 // recordOrigin records what began the stream that is about to be forwarded, or goes on with
@@ -100,40 +91,38 @@
 }
 
 // askOrigin asks the keepers of a stream what began it, all at once, and takes the first
-// answer.
-func (f *Front) askOrigin(ctx context.Context, id uint64) (origin.Origin, bool) {
+// answer. It returns the zero Origin if none of them knows.
+func (f *Front) askOrigin(ctx context.Context, r *wire.OriginRequest) origin.Origin {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ps := actor.Ask(f.loop, func(now time.Duration, s *state) []string { return share.Nearest(id, s.peers.Serving(now), keepers) })
+	ps := actor.Ask(f.loop, func(now time.Duration, s *state) []string {
+		return share.Nearest(r.Stream, s.peers.Serving(now), keepers)
+	})
 	found := make(chan origin.Origin, len(ps))
 	for _, p := range ps {
-		go f.runAsk(ctx, p, id, found)
+		go f.runAsk(ctx, p, r, found)
 	}
 	for range ps {
 		if o := <-found; o.Version != "" {
-			f.loop.Post(func(now time.Duration, s *state) { s.origins.Merge(now, id, o) })
-			return o, true
+			return o
 		}
 	}
-	return origin.Origin{}, false
+	return origin.Origin{}
 }
 
 // runAsk asks a peer and sends its answer to found, which has room for it: the zero Origin if
 // the peer doesn't know or can't be asked.
-func (f *Front) runAsk(ctx context.Context, peer string, id uint64, found chan<- origin.Origin) {
-	r, err := f.gossip.Origin(ctx, peer, &wire.OriginRequest{Stream: id})
+func (f *Front) runAsk(ctx context.Context, peer string, r *wire.OriginRequest, found chan<- origin.Origin) {
+	a, err := f.gossip.Origin(ctx, peer, r)
 	if err != nil && ctx.Err() == nil {
 		f.log("origin", "fetch of a stream's origin from peer failed", "peer", peer, "error", err.Error())
 	}
-	found <- origin.Origin{Service: r.GetService(), Version: r.GetVersion()}
+	found <- origin.Origin{Service: a.GetService(), Version: a.GetVersion()}
 }
 
 // Origin implements wire.DRPCFrontServer.
-func (f *Front) Origin(_ context.Context, q *wire.OriginRequest) (*wire.OriginReply, error) {
-	o := actor.Ask(f.loop, func(now time.Duration, s *state) origin.Origin {
-		o, _ := s.origins.Find(now, q.Stream)
-		return o
-	})
+func (f *Front) Origin(_ context.Context, r *wire.OriginRequest) (*wire.OriginReply, error) {
+	o := actor.Ask(f.loop, func(now time.Duration, s *state) origin.Origin { return s.findOrigin(now, r) })
 	return &wire.OriginReply{Service: o.Service, Version: o.Version}, nil
 }
 
--- /dev/null
+++ b/io/front/origin_test.go
@@ -0,0 +1,38 @@
+package front
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"kingcupstand/core/origin"
+	"kingcupstand/schema/spec"
+	"kingcupstand/schema/wire"
+)
+
+// A front tells its peers what it has recorded, and otherwise the only version that a stream
+// can have begun at, but not if the stream may have begun at another service.
+func TestFindOrigin(t *testing.T) {
+	s := newState(&spec.Front{RetryWindowMs: 1000}, rand.New(rand.NewPCG(1, 2)))
+	v2, v1 := origin.Origin{Service: "chat", Version: "v2"}, origin.Origin{Service: "chat", Version: "v1"}
+	s.origins.SetVersions(0, map[string][]string{"chat": {"v1"}})
+	now := 2 * origin.MinKeep
+	s.origins.Add(now, 7, v2)
+	for _, c := range []struct {
+		name string
+		now  time.Duration
+		r    *wire.OriginRequest
+		want origin.Origin
+	}{
+		{"record", now, &wire.OriginRequest{Stream: 7, Service: "chat"}, v2},
+		{"record of another service", now, &wire.OriginRequest{Stream: 7, Service: "other"}, v2},
+		{"only version", now, &wire.OriginRequest{Stream: 8, Service: "chat"}, v1},
+		{"only version, stream not named", now, &wire.OriginRequest{Service: "chat"}, v1},
+		{"several services", now, &wire.OriginRequest{Stream: 8}, origin.Origin{}},
+		{"just started", time.Second, &wire.OriginRequest{Service: "chat"}, origin.Origin{}},
+	} {
+		if got := s.findOrigin(c.now, c.r); got != c.want {
+			t.Errorf("%s: got %+v, want %+v", c.name, got, c.want)
+		}
+	}
+}
