--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -61,7 +61,6 @@
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -91,36 +90,6 @@
 	Version string
 }
 
-// Criteria describes the request that a target is chosen for.
-type Criteria struct {
-	Service string
-	// PromptTokens is the length of the prompt; it is 0 for a plain service.
-	PromptTokens int
-	// Events is the expected number of events of a streamed response; 0 if it is unknown.
-	Events float64
-	// TimeLeft is the time until the caller's deadline; 0 if there is none.
-	TimeLeft time.Duration
-	// MaxGap is the longest gap between the events of a stream that callers expect; 0 sets
-	// no limit. A prompt that takes long to prefill causes a gap in all streams that the
-	// engine runs. It is prefilled there all the same if AllowGaps is true, or if hardly any
-	// engine would take less time even for this prompt alone.
-	MaxGap    time.Duration
-	AllowGaps bool
-	// Exclude holds the IDs of targets that must not be chosen.
-	Exclude []string
-	// Pinned is true if only targets of Version may be chosen, because the request goes on
-	// with a stream that a target of that version has begun. If Version is "", it is unknown
-	// and no target may be chosen.
-	Pinned  bool
-	Version string
-	// NoRetry is true if the request can't be sent again after a failure.
-	NoRetry bool
-	// Oversubscribe is true if the request may be sent to an engine whose free slots
-	// belong to other fronts, or to a full engine, which runs it in its next free slot,
-	// ahead of what other fronts send later.
-	Oversubscribe bool
-}
-
 // Choice is the chosen target, with the values that decided the choice.
 type Choice struct {
 	ID      string
@@ -379,17 +348,6 @@
 	return best
 }
 
-// admits reports whether a target may be chosen at all, whatever its load.
-func (c Criteria) admits(t *target) bool {
-	if c.Pinned && (t.Version == "" || t.Version != c.Version) {
-		return false
-	}
-	return !t.Leaving && !slices.Contains(c.Exclude, t.ID)
-}
-
-// Admits reports whether there is a target that may be chosen once it has a free slot.
-func (p *Pool) Admits(c Criteria) bool { return slices.ContainsFunc(p.byService[c.Service], c.admits) }
-
 // Parameters of the score.
 const (
 	// jitter is the largest random part of a score, relative to the rest. Heartbeats
--- a/io/front/codec.go
+++ b/io/front/codec.go
@@ -28,9 +28,9 @@
 	// LastEventID is the id of the last event that the caller has received from a stream
 	// that it resumes; "" for a new stream.
 	LastEventID string
-	// Resumes is the ID of the request that brought the first event of the stream that the
-	// caller resumes; "" if it names none.
-	Resumes string
+	// FirstAttempt is the ID of the request that brought the first event of the stream that
+	// the caller resumes; "" if it names none.
+	FirstAttempt string
 }
 
 // Dispatch is the decoded form of the headers that are added when a request is
--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -70,9 +70,7 @@
 			f.telem.Log.Info("dependency lost", "dependency", "peer", "peer", a)
 		}
 	}
-	if s.roster.Age(now) > maxListAge {
-		s.origins.Interrupt(now)
-	}
+	s.checkList(now)
 	live, all := s.peers.Count(now)
 	s.quota.SetFronts(now, live, all)
 	s.budget.SetFronts(all)
@@ -191,6 +189,7 @@
 	s.pool.SetPeer(m.Peer, us)
 	f.mergeLimits(now, s, m.Peer, m.Limits)
 	f.mergeOrigins(now, s, m.Streams)
+	s.confirmList(now, m)
 	ws := quota.Uses{}
 	for _, w := range m.Workspaces {
 		ws[w.Workspace] = quota.Use{Used: w.Used, Level: w.Level}
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -177,7 +177,7 @@
 	}
 	f.log("request", "request ended", "request-id", q.call.ID, "status", status, "reason", reason, "detail", q.summary.detail,
 		"route", name, "workspace", q.workspaceName(), "rank", q.tierRank, "late", q.late, "plan", revision, "service", q.service,
-		"targets", q.tried, "resumes", q.call.Resumes, "wait-ms", q.call.Timeout.Milliseconds(), "prompt", q.call.PromptTokens, "output", q.call.OutputTokens,
+		"targets", q.tried, "resumes", q.call.FirstAttempt, "wait-ms", q.call.Timeout.Milliseconds(), "prompt", q.call.PromptTokens, "output", q.call.OutputTokens,
 		"hint", q.call.OutputHint, "expected-hold-ms", q.expectedHold.Milliseconds(), "turn-ms", q.summary.waited.Milliseconds(), "ahead", q.summary.ahead, "expected-ms", q.summary.expected.Milliseconds(),
 		"running", q.summary.running, "predicted-ms", q.summary.predicted.Milliseconds(), "first-ms", q.summary.firstByte.Milliseconds(),
 		"events", events, "gap-ms", gap.Milliseconds(), "peers", q.summary.peers, "took-ms", time.Since(q.arrived).Milliseconds())
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -21,11 +21,14 @@
 	// versionRetry is the Retry-After if no target of the version is left. A target that has
 	// crashed starts again with its version within a few seconds.
 	versionRetry = 2 * time.Second
+	// maxListAge is the age of the target list from which versions may have been listed that
+	// this front has not seen. Some fronts confirm their lists every 4 s.
+	maxListAge = 5 * time.Second
 )
 
 // resumes reports whether the caller resumes a stream that an earlier request has begun.
 func (q *request) resumes() bool {
-	return q.route.Kind == plan.Stream && (q.call.Resumes != "" || q.call.LastEventID != "")
+	return q.route.Kind == plan.Stream && (q.call.FirstAttempt != "" || q.call.LastEventID != "")
 }
 
 // findOrigin finds out which service and version the resumed stream began at, as only these
@@ -36,8 +39,8 @@
 		return 0, "", 0
 	}
 	r := &wire.OriginRequest{}
-	if q.call.Resumes != "" {
-		r.Stream = origin.ID(q.call.Resumes)
+	if q.call.FirstAttempt != "" {
+		r.Stream = origin.ID(q.call.FirstAttempt)
 	}
 	if len(q.route.Services()) == 1 {
 		r.Service = q.service
@@ -81,8 +84,8 @@
 		return
 	}
 	id, o := origin.ID(q.call.ID), origin.Origin{Service: q.service, Version: version}
-	if q.call.Resumes != "" {
-		id = origin.ID(q.call.Resumes)
+	if q.call.FirstAttempt != "" {
+		id = origin.ID(q.call.FirstAttempt)
 	}
 	q.front.loop.Post(func(now time.Duration, s *state) {
 		s.origins.Add(now, id, o)
@@ -155,15 +158,17 @@
 	}
 }
 
-// maxListAge is the age of the target list from which this front may have missed versions
-// that were listed meanwhile.
-const maxListAge = 5 * time.Second
+// checkList notes that this front may have missed versions that were listed meanwhile, if for
+// too long neither the platform nor a peer has confirmed its target list.
+func (s *state) checkList(now time.Duration) {
+	if min(s.roster.Age(now), now-s.listConfirmed) > maxListAge {
+		s.origins.Interrupt(now)
+	}
+}
 
-// trackVersions tells which versions the target list has.
-func (f *Front) trackVersions(now time.Duration, s *state) {
-	listed := map[string][]string{}
-	for _, r := range s.roster.Replicas(now) {
-		listed[r.Service] = append(listed[r.Service], r.Version)
+// confirmList notes that a peer holds the same target list, and when it was confirmed there.
+func (s *state) confirmList(now time.Duration, m *wire.Beat) {
+	if m.Directory == s.roster.Revision() {
+		s.listConfirmed = max(s.listConfirmed, now-time.Duration(m.DirectoryAgeMs)*time.Millisecond)
 	}
-	s.origins.SetVersions(now, listed)
 }
--- a/io/front/origin_test.go
+++ b/io/front/origin_test.go
@@ -36,3 +36,30 @@
 		}
 	}
 }
+
+// The only version is certain as long as the platform or a peer with the same list confirms
+// it.
+func TestCheckList(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		directory uint64
+		age       time.Duration
+		want      bool
+	}{
+		{"peer with the same list", 5, time.Second, true},
+		{"peer whose list is old, too", 5, time.Minute, false},
+		{"peer with another list", 6, time.Second, false},
+	} {
+		s := newState(&spec.Front{RetryWindowMs: 1000}, rand.New(rand.NewPCG(1, 2)))
+		s.roster.ApplySnapshot(0, &spec.Directory{Revision: 5})
+		s.origins.SetVersions(0, map[string][]string{"chat": {"v1"}})
+		now := time.Duration(0)
+		for ; now <= 2*origin.MinKeep; now += time.Second {
+			s.confirmList(now, &wire.Beat{Directory: c.directory, DirectoryAgeMs: uint32(c.age.Milliseconds())})
+			s.checkList(now)
+		}
+		if _, ok := s.origins.Only(now, "chat"); ok != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, ok, c.want)
+		}
+	}
+}
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -319,7 +319,11 @@
 			q.release(g.choice)
 			if s != 0 && len(q.tried) == 0 {
 				q.refund()
-				q.refuse(s, reason, 0)
+				var after time.Duration
+				if s == http.StatusServiceUnavailable {
+					after = versionRetry
+				}
+				q.refuse(s, reason, after)
 				return
 			}
 			continue
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -53,7 +53,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	e := &exchange{request: q, choice: c, started: time.Now(), cancel: cancel, prompt: q.call.PromptTokens, outcome: pool.Broken}
-	q.front.log("sending", "sending", "request-id", q.call.ID, "target", c.ID, "version", c.Version, "resumes", q.call.Resumes, "last-event", q.lastEvent(), "sends", q.dispatches, "running", c.Running, "slots", c.Slots,
+	q.front.log("sending", "sending", "request-id", q.call.ID, "target", c.ID, "version", c.Version, "resumes", q.call.FirstAttempt, "last-event", q.lastEvent(), "sends", q.dispatches, "running", c.Running, "slots", c.Slots,
 		"predicted-ms", c.ExpectedFirstByte.Milliseconds(), "turn-ms", q.summary.waited.Milliseconds(), "plan", q.plan.Revision(), "list-age-ms", q.summary.listAge.Milliseconds())
 	v := e.run(ctx)
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled) && e.outcome == pool.Broken {
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -53,6 +53,9 @@
 	heartbeatSent time.Duration
 	// reapplyAt is when the next missing target expires.
 	reapplyAt time.Duration
+	// listConfirmed is when a live peer's platform connection last confirmed the target list
+	// that this front holds.
+	listConfirmed time.Duration
 }
 
 // allowanceWindow returns the window over which allowances hold.
@@ -124,6 +127,7 @@
 // next expiry of a missing target.
 func (f *Front) applyTargets(now time.Duration, s *state) {
 	var ts []pool.Target
+	versions := map[string][]string{}
 	for _, r := range s.roster.Replicas(now) {
 		t := pool.Target{
 			ID:         r.Id,
@@ -139,9 +143,10 @@
 			t.Engine = v.Engine
 		}
 		ts = append(ts, t)
+		versions[r.Service] = append(versions[r.Service], r.Version)
 	}
 	s.pool.SetTargets(ts)
-	f.trackVersions(now, s)
+	s.origins.SetVersions(now, versions)
 	f.assignSlots(now, s)
 	f.meter.targets.Update(float64(len(ts)))
 	f.dispatchAll(now, s)
