core/pool: a target that is listed again has kept its limit (LIMIT)

Found by reading: entries of live targets expire in an outage of the platform and come back. All fronts dropped such a target with its limit, and began it anew without one, so that no front could tell the others. The limit of a target that isn't listed is now kept, and applies if the same process is listed again.

TestLimitStaysWhileTargetIsNotListed fails without it.

--- a/core/pool/limit_test.go
+++ b/core/pool/limit_test.go
@@ -91,3 +91,21 @@
 		t.Errorf("got %+v, want a share of 0.4", ls)
 	}
 }
+
+// Guards against a target that loses its limit at all fronts when its entry expires in an
+// outage of the platform and comes back.
+func TestLimitStaysWhileTargetIsNotListed(t *testing.T) {
+	a := engine("a")
+	p := limited(a)
+	p.SetTargets(nil)
+	p.SetTargets([]pool.Target{a})
+	if r := p.Limit("a"); r != perSecond(2) {
+		t.Errorf("listed again: got limit %+v, want 2 a second", r)
+	}
+	p.SetTargets(nil)
+	a.Born = 2
+	p.SetTargets([]pool.Target{a})
+	if r := p.Limit("a"); r.Named {
+		t.Errorf("another process: got limit %+v, want none", r)
+	}
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -125,6 +125,8 @@
 	byService  map[string][]*target
 	peers      map[string]map[uint32]Use
 	estimators map[string]*estimator
+	// unlisted holds the limits of targets that are not listed now, by ID.
+	unlisted map[string]unlistedLimit
 }
 
 // New returns a Pool without targets for a front in the given data centre.
@@ -137,6 +139,7 @@
 		byService:  map[string][]*target{},
 		peers:      map[string]map[uint32]Use{},
 		estimators: map[string]*estimator{},
+		unlisted:   map[string]unlistedLimit{},
 	}
 }
 
@@ -205,10 +208,18 @@
 			t.credits = 1
 		}
 		t.Target = d
+		if !ok {
+			p.restoreLimit(t)
+		}
 		p.targets[d.ID] = t
 		p.byHash[Hash(d.ID)] = t
 		p.byService[d.Service] = append(p.byService[d.Service], t)
 	}
+	for id, t := range old {
+		if p.targets[id] == nil {
+			p.keepLimit(t)
+		}
+	}
 	for peer := range p.peers {
 		p.attachUses(peer)
 	}
