--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -91,6 +91,27 @@
 	m.telem.Scope.Tagged(map[string]string{"cause": cause(err), "allowed": strconv.FormatBool(allowed)}).Counter("repeats").Inc(1)
 }
 
+// countCut counts a stream that was broken off towards its caller, by the error of the last
+// dispatch and the reason why no other target went on with it.
+func (m *meter) countCut(last, err error) {
+	m.telem.Scope.Tagged(map[string]string{"cause": cause(last), "reason": cutReason(err)}).Counter("streams_cut").Inc(1)
+}
+
+// cutReason returns the metric label for the reason why no other target went on with a stream.
+func cutReason(err error) string {
+	for e, n := range cutReasons {
+		if errors.Is(err, e) {
+			return n
+		}
+	}
+	return "no-retry"
+}
+
+// cutReasons maps the reasons why no other target went on with a stream to metric labels.
+var cutReasons = map[error]string{
+	errMaxWait: "no-slot", errOverload: "no-slot", errVersionGone: "version-gone", errTimeout: "timeout", errStopped: "stopping",
+}
+
 // cause returns the metric label for the error of a failed dispatch.
 func cause(err error) string {
 	for e, n := range causes {
@@ -176,13 +197,22 @@
 		events, gap = q.stream.events, q.stream.gap
 	}
 	f.log("request", "request ended", "request-id", q.call.ID, "status", status, "reason", reason, "detail", q.summary.detail,
-		"route", name, "workspace", q.workspaceName(), "rank", q.tierRank, "late", q.late, "plan", revision, "service", q.service,
+		"last-error", errorText(q.summary.lastError), "route", name, "workspace", q.workspaceName(), "rank", q.tierRank, "late", q.late,
+		"plan", revision, "plan-at-end", f.plan.Load().Revision(), "service", q.service,
 		"targets", q.tried, "resumes", q.call.FirstAttempt, "wait-ms", q.call.Timeout.Milliseconds(), "prompt", q.call.PromptTokens, "output", q.call.OutputTokens,
 		"hint", q.call.OutputHint, "expected-hold-ms", q.expectedHold.Milliseconds(), "turn-ms", q.summary.waited.Milliseconds(), "ahead", q.summary.ahead, "expected-ms", q.summary.expected.Milliseconds(),
 		"running", q.summary.running, "predicted-ms", q.summary.predicted.Milliseconds(), "first-ms", q.summary.firstByte.Milliseconds(),
 		"events", events, "gap-ms", gap.Milliseconds(), "peers", q.summary.peers, "took-ms", time.Since(q.arrived).Milliseconds())
 }
 
+// errorText returns the text of an error, or "" for nil.
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 // short returns the part of a reason before its detail, as a metric label.
 func short(reason string) string {
 	s, _, _ := strings.Cut(reason, ":")
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -105,7 +105,8 @@
 // summary holds values for the log lines of a request: the time in the queue, the predicted
 // time from the dispatch to the first byte, the actual time from the arrival to it, the
 // error, the requests ahead and the expected wait of a refusal, the requests running at the
-// target, the age of the target list and the number of live fronts.
+// target, the age of the target list, the number of live fronts, and the error of the last
+// dispatch that failed.
 type summary struct {
 	waited    time.Duration
 	predicted time.Duration
@@ -116,6 +117,7 @@
 	running   int
 	listAge   time.Duration
 	peers     int
+	lastError error
 }
 
 // serve handles one HTTP request of a caller.
@@ -333,6 +335,7 @@
 		if v.done {
 			return
 		}
+		q.summary.lastError = v.err
 		if !q.retry(ctx, v) {
 			q.fail(ctx, v.err, v.retryAfter)
 			return
@@ -404,6 +407,9 @@
 // fail answers a request that no target has answered.
 func (q *request) fail(ctx context.Context, err error, retryAfter time.Duration) {
 	if q.stream != nil {
+		if q.http.Context().Err() == nil {
+			q.front.meter.countCut(q.summary.lastError, err)
+		}
 		q.abort(fmt.Sprintf("cut: %v", err))
 		return
 	}
