--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -60,7 +60,8 @@
 	arrivals []Arrival
 	conns    map[net.Conn]bool
 	// limit is the header line with the limit that responses name, or "".
-	limit string
+	limit   string
+	silence silence
 }
 
 // faults holds the fault of the next requests and the number left of them. Replicas may
@@ -69,6 +70,9 @@
 	mu   sync.Mutex
 	next Fault
 	left int
+	// pauseEvent and pauseTime belong to the fault silent.
+	pauseEvent int
+	pauseTime  time.Duration
 }
 
 // take returns the fault of one request and counts it down.
@@ -156,6 +160,7 @@
 // progress.
 func (r *Replica) Close() error {
 	err := r.listener.Close()
+	r.Pause(0)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.conns {
@@ -174,16 +179,16 @@
 		r.mu.Lock()
 		r.conns[c] = true
 		r.mu.Unlock()
-		go r.loop(c)
+		go r.loop(&pausedConn{c, &r.silence})
 	}
 }
 
 // loop serves one connection.
-func (r *Replica) loop(c net.Conn) {
+func (r *Replica) loop(c *pausedConn) {
 	defer func() {
 		_ = c.Close() // an error means that it is closed already
 		r.mu.Lock()
-		delete(r.conns, c)
+		delete(r.conns, c.Conn)
 		r.mu.Unlock()
 	}()
 	b := bufio.NewReader(c)
@@ -216,7 +221,7 @@
 }
 
 // serve responds to one request. It reports false if the connection must be closed.
-func (r *Replica) serve(c net.Conn, q *http.Request) bool {
+func (r *Replica) serve(c *pausedConn, q *http.Request) bool {
 	f, limit := r.receive(q)
 	id := q.Header.Get("Attempt-Id")
 	if q.Header.Get("Expect-Replica") != r.ID {
@@ -238,11 +243,16 @@
 	case NoReceipt:
 		head = fmt.Sprintf("Attempt-Id: %s\r\n", id)
 	}
+	r.pauseAt(f, 0)
 	if r.Events > 0 {
 		return r.stream(c, q, f, head)
 	}
 	time.Sleep(r.Delay)
 	b := PlainBody(r.ID, q)
+	if f.unframed() {
+		unframedPlain(c, b, f, head)
+		return false
+	}
 	if f == TruncateBody {
 		write(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(b)+10, b)
 		return false
@@ -275,13 +285,18 @@
 
 // stream sends the events that follow the request's Last-Event-Id, or all of them. It
 // reports false if the connection must be closed.
-func (r *Replica) stream(c net.Conn, q *http.Request, f Fault, head string) bool {
+func (r *Replica) stream(c *pausedConn, q *http.Request, f Fault, head string) bool {
 	from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id")) // absent: 0, the start of the stream
+	if f.unframed() {
+		r.unframedStream(c, from, f, head)
+		return false
+	}
 	if !write(c, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", head) {
 		return false
 	}
 	for n := from + 1; n <= r.Events; n++ {
 		time.Sleep(r.Delay)
+		r.pauseAt(f, n-from)
 		t := VersionEventText(r.Version, n)
 		if f == TruncateStream && n == from+3 {
 			t = strings.TrimSuffix(t, "\n\n")
