--- a/internal/stand/pause.go
+++ b/internal/stand/pause.go
@@ -21,6 +21,9 @@
 	UnframedReset Fault = "unframed-reset"
 )
 
+// Declining responds with 400 and a body, with a receipt.
+const Declining Fault = "declining"
+
 // silent makes the replica silent at a point of the response; see PauseBefore.
 const silent Fault = "silent"
 
--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -233,6 +233,8 @@
 		return write(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", limit)
 	case Failing:
 		return write(c, "HTTP/1.1 500 Internal Server Error\r\n%sContent-Length: 6\r\n\r\nfailed", head)
+	case Declining:
+		return write(c, "HTTP/1.1 400 Bad Request\r\n%sContent-Length: 8\r\n\r\ndeclined", head)
 	case Disconnect:
 		return false
 	case Hang:
