--- a/io/front/request.go
+++ b/io/front/request.go
@@ -87,17 +87,17 @@
 	excluded []string
 	// dispatches counts all dispatches, including those that failed to connect.
 	dispatches int
-	// mayHaveRun is true if a target may have run the request, and mayHaveRunBefore if
-	// one may have done so before the last dispatch.
-	mayHaveRun       bool
-	mayHaveRunBefore bool
+	// mayHaveRun is true if a target may have run the request.
+	mayHaveRun bool
 	// fallback is a server error from a target, which is forwarded if no other target
 	// answers the request.
 	fallback *response
 	// origin is what began the stream that the caller resumes; nil for a new stream.
 	origin *origin.Origin
 	// stream is the streamed response that the caller is receiving; nil before its start.
-	stream  *stream
+	stream *stream
+	// next is the exchange that has taken the request over from a silent target; nil if none has.
+	next    *exchange
 	summary summary
 	span    trace.Span
 }
@@ -308,6 +308,33 @@
 
 // loop queues and dispatches the request until it is answered or may not be retried.
 func (q *request) loop(ctx context.Context) {
+	for {
+		e := q.next
+		q.next = nil
+		if e == nil {
+			e = q.assign(ctx)
+		}
+		if e == nil {
+			return
+		}
+		v := q.dispatch(e)
+		switch {
+		case v.done:
+			return
+		case v.abort:
+			q.abort(fmt.Sprintf("cut: %v", v.err))
+		}
+		q.summary.lastError = v.err
+		if !q.retry(ctx, v) {
+			q.fail(ctx, v.err, v.retryAfter)
+			return
+		}
+	}
+}
+
+// assign waits for a slot at a target. It answers the request and returns nil if there is none
+// in time, or if a new plan refuses the request.
+func (q *request) assign(ctx context.Context) *exchange {
 	for {
 		w := q.maxWait()
 		g := q.acquire(ctx, q.criteria(), w)
@@ -315,7 +342,7 @@
 		if g.err != nil {
 			q.summary.ahead, q.summary.expected = g.refusal.Ahead, g.refusal.ExpectedWait
 			q.fail(ctx, g.err, g.refusal.RetryAfter)
-			return
+			return nil
 		}
 		if ok, s, reason := q.recheck(); !ok {
 			q.release(g.choice)
@@ -326,20 +353,12 @@
 					after = versionRetry
 				}
 				q.refuse(s, reason, after)
-				return
+				return nil
 			}
 			continue
 		}
 		q.summary.predicted, q.summary.running, q.summary.listAge = g.choice.ExpectedFirstByte, g.choice.Running, g.listAge
-		v := q.dispatch(ctx, g.choice)
-		if v.done {
-			return
-		}
-		q.summary.lastError = v.err
-		if !q.retry(ctx, v) {
-			q.fail(ctx, v.err, v.retryAfter)
-			return
-		}
+		return q.newExchange(ctx, g.choice, q.lastEvent(), q.dispatches)
 	}
 }
 
@@ -370,6 +389,8 @@
 type result struct {
 	// done is true if the caller has its response or has disconnected.
 	done bool
+	// abort is true if the response to the caller has begun and can't be continued.
+	abort bool
 	// sent is true if any byte of the request may have reached the target.
 	sent bool
 	// mayHaveRun is true if the target may have run the request.
@@ -384,6 +405,9 @@
 // the retry budget. Nothing is taken if the last dispatch sent nothing. A request that may
 // have run is dispatched again only if its route is repeatable.
 func (q *request) retry(ctx context.Context, v result) bool {
+	if q.next != nil {
+		return true // taken from the budget before
+	}
 	if ctx.Err() != nil || q.dispatches >= maxDispatches {
 		return false
 	}
@@ -396,11 +420,17 @@
 	if len(q.tried) >= q.route.Attempts {
 		return false
 	}
+	return q.takeRetry(v.err, q.tried)
+}
+
+// takeRetry takes a retry after the error of an exchange from the retry budget. Tried are the
+// targets that the request was sent to.
+func (q *request) takeRetry(err error, tried []string) bool {
 	ok := actor.Ask(q.front.loop, func(now time.Duration, s *state) bool {
 		return s.budget.Take(now, q.service)
 	})
-	q.front.meter.countRetry(v.err, ok)
-	q.front.log("repeat", "repeat", "request-id", q.call.ID, "allowed", ok, "error", v.err.Error(), "tried", q.tried)
+	q.front.meter.countRetry(err, ok)
+	q.front.log("repeat", "repeat", "request-id", q.call.ID, "allowed", ok, "error", err.Error(), "tried", tried)
 	return ok
 }
 
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -11,6 +11,9 @@
 	"strings"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
+	"kingcupstand/core/event"
 	"kingcupstand/core/plan"
 	"kingcupstand/core/pool"
 	"kingcupstand/io/dial"
@@ -44,52 +47,102 @@
 	errNotRun       = errors.New("target did not run the request")
 	errServerError  = errors.New("target returned a server error")
 	errPartialEvent = errors.New("stream ended in the middle of an event")
+	errDeclined     = errors.New("target declined to go on with the response")
+	errSilenceEnded = errors.New("silent target has gone on")
 )
 
-// dispatch sends the request to one target and forwards the response.
-func (q *request) dispatch(ctx context.Context, c pool.Choice) result {
-	ctx, span := q.front.telem.StartSpan(ctx, "front.send")
-	defer span.End()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	e := &exchange{request: q, choice: c, started: time.Now(), cancel: cancel, prompt: q.call.PromptTokens, outcome: pool.Broken}
-	q.front.log("sending", "sending", "request-id", q.call.ID, "target", c.ID, "version", c.Version, "resumes", q.call.FirstAttempt, "last-event", q.lastEvent(), "sends", q.dispatches, "running", c.Running, "slots", c.Slots,
+// newExchange returns an exchange of the request with a target that has a slot for it. Sends is
+// the number of earlier dispatches.
+func (q *request) newExchange(ctx context.Context, c pool.Choice, lastEvent string, sends int) *exchange {
+	e := &exchange{
+		request: q, choice: c, lastEvent: lastEvent, sends: sends, parent: ctx, started: time.Now(),
+		prompt: q.call.PromptTokens, outcome: pool.Broken, events: event.New(),
+	}
+	e.takeover.lastEvent = lastEvent
+	e.ctx, e.span = q.front.telem.StartSpan(ctx, "front.send")
+	e.ctx, e.cancel = context.WithCancelCause(e.ctx)
+	q.front.log("sending", "sending", "request-id", q.call.ID, "target", c.ID, "version", c.Version, "resumes", q.call.FirstAttempt, "last-event", lastEvent, "sends", sends, "running", c.Running, "slots", c.Slots,
 		"predicted-ms", c.ExpectedFirstByte.Milliseconds(), "turn-ms", q.summary.waited.Milliseconds(), "plan", q.plan.Revision(), "list-age-ms", q.summary.listAge.Milliseconds())
-	v := e.run(ctx)
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled) && e.outcome == pool.Broken {
-		e.outcome = pool.Neutral
+	return e
+}
+
+// dispatch sends the request to the target of e, unless that was done, and forwards the
+// response. If the target falls silent, the request may be moved to another one, whose exchange
+// is then the next.
+func (q *request) dispatch(e *exchange) result {
+	v := result{}
+	e.attemptsLeft, e.dispatchesLeft = q.route.Attempts-len(q.tried), maxDispatches-q.dispatches
+	if !e.opened {
+		e.attemptsLeft, e.dispatchesLeft = e.attemptsLeft-1, e.dispatchesLeft-1
+		e.criteria = q.takeoverCriteria(e.choice.ID)
+		v = e.open()
+		q.recordDispatch(e, v)
 	}
-	if v.err != nil && ctx.Err() != nil {
-		v.err = context.Cause(ctx)
+	if e.opened {
+		v = e.forward()
 	}
-	e.close()
-	q.excluded = append(q.excluded, c.ID)
-	q.front.loop.Post(func(now time.Duration, s *state) {
-		s.pool.End(now, c.ID, e.prompt, e.outcome)
-		s.sched.AddHold(q.service, time.Since(e.started))
-		s.changed = true
-		q.front.dispatchQueued(now, s, q.service)
-	})
-	if v.err != nil {
-		q.front.log("send", "send ended", "request-id", q.call.ID, "target", c.ID, "arrived", v.sent, "ran", v.mayHaveRun,
-			"running", c.Running, "predicted-ms", c.ExpectedFirstByte.Milliseconds(), "took-ms", time.Since(e.started).Milliseconds(), "error", v.err.Error())
+	e.takeover.end(v.err != nil && e.parent.Err() == nil)
+	v = e.end(v)
+	return q.adopt(&e.takeover, v)
+}
+
+// recordDispatch records that an exchange was begun.
+func (q *request) recordDispatch(e *exchange, v result) {
+	q.dispatches++
+	q.excluded = append(q.excluded, e.choice.ID)
+	if v.sent {
+		q.tried = append(q.tried, e.choice.ID)
+	}
+	q.mayHaveRun = q.mayHaveRun || v.mayHaveRun
+	if e.fallback != nil {
+		q.fallback = e.fallback
 	}
-	return v
 }
 
 // exchange is one dispatch of a request to a target and the response to it.
 type exchange struct {
 	request *request
 	choice  pool.Choice
-	started time.Time
-	// cancel cancels the dispatch's context, which closes the connection.
-	cancel context.CancelCauseFunc
-	conn   *dial.Conn
+	// lastEvent is the id of the event after which a stream goes on; "" for a new stream.
+	lastEvent string
+	// sends is the number of earlier dispatches of the request. attemptsLeft and dispatchesLeft
+	// are how many more targets may get it, and may be tried.
+	sends                        int
+	attemptsLeft, dispatchesLeft int
+	started                      time.Time
+	// parent is the context of the request, and ctx that of the exchange. Its end closes the
+	// connection.
+	parent, ctx context.Context
+	cancel      context.CancelCauseFunc
+	span        trace.Span
+	conn        *dial.Conn
 	// detach stops the closing of conn at the end of the context. It reports false if the
 	// connection is already being closed.
 	detach func() bool
-	// stallTimer calls stalled if the target sends nothing for too long.
+	// stallTimer calls runTakeover if the target sends nothing for too long.
 	stallTimer *time.Timer
+	takeover   takeover
+	// criteria are those for a target that takes the request over.
+	criteria pool.Criteria
+	// overlap bounds the time for which this target runs the request beside the one that it is
+	// to take it over from; nil if there is none.
+	overlap *time.Timer
+	// continues is true if the caller has the beginning of a response, or may still get it from
+	// another target, so that only a success may be forwarded.
+	continues bool
+	// opened is true once there is a response to forward: a stream with its first events, or
+	// plain.
+	opened   bool
+	response *http.Response
+	plain    *response
+	// events splits the stream. first holds the events read before it is forwarded, and firstErr
+	// the error that came with them.
+	events   *event.Splitter
+	buffer   []byte
+	first    []event.Event
+	firstErr error
+	// fallback is a server error of the target.
+	fallback *response
 	// prompt is the number of prompt tokens that the target has yet to process; 0 after the
 	// first byte.
 	prompt int
@@ -101,8 +154,16 @@
 	unexpected bool
 }
 
-// close releases the timer and, unless it was kept, the connection.
-func (e *exchange) close() {
+// end releases the exchange and reports its outcome. It returns the result v, with the cause for
+// which the exchange was canceled as its error.
+func (e *exchange) end(v result) result {
+	q, c := e.request, e.choice
+	if e.ctx.Err() != nil && !errors.Is(context.Cause(e.ctx), errStalled) && e.outcome == pool.Broken {
+		e.outcome = pool.Neutral
+	}
+	if v.err != nil && e.ctx.Err() != nil {
+		v.err = context.Cause(e.ctx)
+	}
 	if e.stallTimer != nil {
 		e.stallTimer.Stop()
 	}
@@ -112,49 +173,70 @@
 	if e.conn != nil && !e.kept {
 		e.conn.Close()
 	}
+	e.cancel(nil)
+	e.span.End()
+	q.front.loop.Post(func(now time.Duration, s *state) {
+		s.pool.End(now, c.ID, e.prompt, e.outcome)
+		s.sched.AddHold(q.service, time.Since(e.started))
+		s.changed = true
+		q.front.dispatchQueued(now, s, q.service)
+	})
+	if v.err != nil {
+		q.front.log("send", "send ended", "request-id", q.call.ID, "target", c.ID, "arrived", v.sent, "ran", v.mayHaveRun,
+			"running", c.Running, "predicted-ms", c.ExpectedFirstByte.Milliseconds(), "took-ms", time.Since(e.started).Milliseconds(), "error", v.err.Error())
+	}
+	return v
 }
 
-// run gets a connection, sends the request and handles the response.
-func (e *exchange) run(ctx context.Context) result {
+// open gets a connection, sends the request and reads the beginning of the response. If there
+// is a response to forward, it sets opened.
+func (e *exchange) open() result {
+	if v := e.send(); v.err != nil {
+		return v
+	}
+	if e.overlap == nil {
+		e.startStallTimer()
+	}
+	a, r, err := e.receive()
+	if err != nil {
+		return result{sent: true, mayHaveRun: true, err: err}
+	}
+	if e.overlap != nil {
+		e.overlap.Reset(takeoverOverlap)
+	}
+	e.response = a
+	v := e.handle(a, r)
+	e.opened = v.err == nil
+	return v
+}
+
+// send gets a connection and sends the request.
+func (e *exchange) send() result {
 	q := e.request
-	q.dispatches++
 	limit := dial.Lenient
 	if !q.route.Repeatable() {
 		limit = dial.Strict
 	}
 	var err error
-	if e.conn, err = q.front.dialer.Get(ctx, e.choice.Address, limit); err != nil {
+	if e.conn, err = q.front.dialer.Get(e.ctx, e.choice.Address, limit); err != nil {
 		e.outcome = pool.Unreachable
 		return result{err: err}
 	}
-	conn := e.conn
-	e.detach = context.AfterFunc(ctx, conn.Close)
+	e.detach = context.AfterFunc(e.ctx, e.conn.Close)
 	h := endToEnd(q.http.Header)
 	q.front.codec.EncodeDispatch(h, Dispatch{
 		Target:      e.choice.ID,
 		Timeout:     time.Until(q.deadline),
 		Workspace:   q.workspaceName(),
-		LastEventID: q.lastEvent(),
+		LastEventID: e.lastEvent,
 	})
-	sent, err := conn.Send(dial.Request{
+	sent, err := e.conn.Send(dial.Request{
 		Method: q.http.Method, URI: q.http.RequestURI, Host: q.http.Host, Header: h, Body: q.body,
 	})
 	if !sent {
 		e.outcome = pool.Unreachable
-		return result{err: err}
 	}
-	q.tried = append(q.tried, e.choice.ID)
-	q.mayHaveRunBefore = q.mayHaveRun
-	q.mayHaveRun = true // until the target guarantees that it has not
-	if err != nil {
-		return result{sent: true, mayHaveRun: true, err: err}
-	}
-	e.startStallTimer()
-	a, r, err := e.receive()
-	if err != nil {
-		return result{sent: true, mayHaveRun: true, err: err}
-	}
-	return e.handle(a, r)
+	return result{sent: sent, mayHaveRun: sent, err: err}
 }
 
 // maxUnexpected is how many responses to earlier requests are skipped.
@@ -203,7 +285,7 @@
 // startStallTimer starts the timer that runs until the first event of a stream, or until
 // another response has been buffered.
 func (e *exchange) startStallTimer() {
-	e.stallTimer = time.AfterFunc(e.firstByteStall(), e.stalled)
+	e.stallTimer = time.AfterFunc(e.firstByteStall(), e.runTakeover)
 }
 
 // firstByteStall returns how long the target may take to the first event of a stream, or
@@ -222,24 +304,10 @@
 	return max(streamStallFactor*q.route.Gap, callerStallTimeout-failoverMargin)
 }
 
-// stalled reports a stalled target to the pool, and cancels the dispatch if the request
-// may be dispatched to another target.
-func (e *exchange) stalled() {
-	q := e.request
-	q.front.loop.Post(func(now time.Duration, s *state) { s.pool.MarkStalled(now, e.choice.ID) })
-	retry := q.route.Repeatable() && len(q.tried) < q.route.Attempts
-	q.front.log("stalled", "target silent", "request-id", q.call.ID, "target", e.choice.ID, "predicted-ms", e.choice.ExpectedFirstByte.Milliseconds(),
-		"silent-since-ms", time.Since(e.started).Milliseconds(), "moved", retry)
-	if retry {
-		e.cancel(errStalled)
-	}
-}
-
-// handle handles a response by its status and headers. A successful response needs the
-// target's receipt and the request's id; without them it is not accepted as the target's
-// response.
+// handle reads the beginning of a response by its status and headers. A successful response
+// needs the target's receipt and the request's id; without them it is not accepted as the
+// target's response.
 func (e *exchange) handle(a *http.Response, r Reply) result {
-	q := e.request
 	if r.NotRun {
 		return e.handleNotRun(a)
 	}
@@ -247,18 +315,16 @@
 	if success && (!r.HasReceipt || r.ID == "") {
 		return result{sent: true, mayHaveRun: true, err: errNoReceipt}
 	}
-	if success && q.route.Kind == plan.Stream {
-		return e.forwardStream(a)
+	if success && e.request.route.Kind == plan.Stream {
+		return result{sent: true, mayHaveRun: true, err: e.readFirst()}
 	}
-	return e.forwardPlain(a, success)
+	return result{sent: true, mayHaveRun: true, err: e.readPlain(success)}
 }
 
 // handleNotRun handles a response which guarantees that the request has not run. A
 // misdirected request (421) reached another process than the target, so the target
 // counts as unreachable.
 func (e *exchange) handleNotRun(a *http.Response) result {
-	q := e.request
-	q.mayHaveRun = q.mayHaveRunBefore
 	e.outcome = pool.Rejected
 	if a.StatusCode == http.StatusMisdirectedRequest {
 		e.outcome = pool.Unreachable
@@ -277,51 +343,65 @@
 	}
 }
 
-// forwardPlain forwards a response that is no stream. A server error other than 504 is
-// kept as the fallback, as another target may succeed.
-func (e *exchange) forwardPlain(a *http.Response, success bool) result {
-	q := e.request
+// readPlain reads a response that is no stream, up to maxBuffered. A server error other than
+// 504 is kept as the fallback, as another target may succeed.
+func (e *exchange) readPlain(success bool) error {
+	a := e.response
 	var b bytes.Buffer
 	n, err := io.Copy(&b, io.LimitReader(a.Body, maxBuffered+1))
 	if err != nil {
-		return result{sent: true, mayHaveRun: true, err: fmt.Errorf("read response body: %w", err)}
+		return fmt.Errorf("read response body: %w", err)
 	}
-	e.stallTimer.Stop()
-	e.recordFirstByte()
-	o := &response{status: a.StatusCode, header: responseHeaders(a.Header), body: b.Bytes()}
-	if n > maxBuffered {
-		return e.forwardLarge(o, a)
+	e.plain = &response{status: a.StatusCode, header: responseHeaders(a.Header), body: b.Bytes(), whole: n <= maxBuffered, length: a.ContentLength}
+	if !e.plain.whole {
+		return nil
 	}
 	e.keep(a)
 	e.outcome = pool.Good
-	if !success {
-		if a.StatusCode >= http.StatusInternalServerError && a.StatusCode != http.StatusGatewayTimeout {
-			e.outcome = pool.Failed
-			q.fallback = o
-			return result{sent: true, mayHaveRun: true, err: fmt.Errorf("status %d: %w", a.StatusCode, errServerError)}
-		}
-		e.outcome = pool.Neutral
+	switch {
+	case success:
+		return nil
+	case a.StatusCode >= http.StatusInternalServerError && a.StatusCode != http.StatusGatewayTimeout:
+		e.outcome = pool.Failed
+		e.fallback = e.plain
+		return fmt.Errorf("status %d: %w", a.StatusCode, errServerError)
 	}
-	o.write(q)
-	q.finish(o.status, "answered")
-	return result{done: true}
+	e.outcome = pool.Neutral
+	if e.continues {
+		return fmt.Errorf("status %d: %w", a.StatusCode, errDeclined)
+	}
+	return nil
 }
 
-// forwardLarge forwards a response while it is being read. If the target breaks off, the
-// caller's connection is broken as well; abort panics, so the end of the dispatch is
-// reported to the pool here.
-func (e *exchange) forwardLarge(o *response, a *http.Response) result {
-	q := e.request
-	o.length = a.ContentLength
-	o.write(q)
-	if _, err := io.Copy(q.writer, a.Body); err != nil {
-		e.close()
-		q.front.loop.Post(func(now time.Duration, s *state) { s.pool.End(now, e.choice.ID, e.prompt, pool.Broken) })
-		q.abort(fmt.Sprintf("cut: %v", err))
+// forward forwards the response to the caller.
+func (e *exchange) forward() result {
+	if e.plain != nil {
+		return e.forwardPlain()
 	}
-	e.keep(a)
-	e.outcome = pool.Good
-	q.finish(o.status, "answered")
+	return e.forwardStream()
+}
+
+// forwardPlain forwards a response that is no stream. One that was not read to its end is
+// forwarded while it is being read; if the target breaks off, the caller's connection is broken
+// as well.
+func (e *exchange) forwardPlain() result {
+	q, a := e.request, e.response
+	if !e.plain.whole && !e.takeover.settle() {
+		return result{sent: true, mayHaveRun: true, err: errStalled}
+	}
+	if e.stallTimer != nil {
+		e.stallTimer.Stop()
+	}
+	e.recordFirstByte()
+	e.plain.write(q)
+	if !e.plain.whole {
+		if _, err := io.Copy(q.writer, a.Body); err != nil {
+			return result{sent: true, mayHaveRun: true, err: err, abort: true}
+		}
+		e.keep(a)
+		e.outcome = pool.Good
+	}
+	q.finish(e.plain.status, "answered")
 	return result{done: true}
 }
 
@@ -346,8 +426,9 @@
 	status int
 	header http.Header
 	body   []byte
-	// length is the size in bytes of the complete body if body holds only its beginning; -1
-	// if unknown.
+	// whole is false if body holds only the beginning of the body, whose size in bytes is then
+	// length, or -1 if unknown.
+	whole  bool
 	length int64
 }
 
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -28,49 +28,87 @@
 	gap       time.Duration
 }
 
+// read returns the next complete events of the target's response. It returns some or an error,
+// which is io.EOF at the end of the stream, or both.
+func (e *exchange) read() ([]event.Event, error) {
+	if e.buffer == nil {
+		e.buffer = make([]byte, readBuffer)
+	}
+	for {
+		n, err := e.response.Body.Read(e.buffer)
+		es := e.events.Push(e.buffer[:n])
+		if len(es) > 0 || err != nil {
+			return es, err
+		}
+	}
+}
+
+// readFirst reads the first events of a stream. It returns an error if the stream ends without
+// any, unless it is complete.
+func (e *exchange) readFirst() error {
+	e.first, e.firstErr = e.read()
+	if len(e.first) > 0 {
+		return nil
+	}
+	return e.streamError(e.firstErr)
+}
+
+// streamError returns the error of a stream whose last read returned err, or nil if it is
+// complete.
+func (e *exchange) streamError(err error) error {
+	switch {
+	case !errors.Is(err, io.EOF):
+		return fmt.Errorf("read stream: %w", err)
+	case e.events.Partial():
+		return errPartialEvent
+	}
+	return nil
+}
+
 // forwardStream forwards the events of a target's response until it ends. Only complete
 // events are forwarded, so that another target can continue after the last one.
-func (e *exchange) forwardStream(a *http.Response) result {
+func (e *exchange) forwardStream() result {
 	q := e.request
-	s := event.New()
-	b := make([]byte, readBuffer)
-	seen := 0
+	if e.stallTimer == nil {
+		e.startStallTimer()
+	}
 	g := gapSampler{exchange: e}
+	es, err := e.first, e.firstErr
+	if len(es) > 0 {
+		e.recordFirstByte()
+	}
 	for {
-		n, err := a.Body.Read(b)
-		if es := s.Push(b[:n]); len(es) > 0 {
-			if seen == 0 {
-				e.recordFirstByte()
+		e.stallTimer.Stop()
+		if len(es) > 0 {
+			if !e.takeover.progress() {
+				return result{sent: true, mayHaveRun: true, err: errStalled}
 			}
-			seen += len(es)
 			g.add(len(es))
-			e.stallTimer.Reset(q.streamStall())
-			q.open(a, e.choice.Version)
+			q.open(e.response, e.choice.Version)
 			if werr := q.forward(es); werr != nil {
 				e.outcome = pool.Neutral
 				e.prompt = 0
 				q.finish(0, "caller-left")
 				return result{done: true}
 			}
+			e.takeover.forwarded(q.lastEvent())
 		}
-		if err == nil {
-			continue
+		if err != nil {
+			break
 		}
-		e.stallTimer.Stop()
-		g.flush()
-		if !errors.Is(err, io.EOF) {
-			return result{sent: true, mayHaveRun: true, err: fmt.Errorf("read stream: %w", err)}
-		}
-		if s.Partial() {
-			return result{sent: true, mayHaveRun: true, err: errPartialEvent}
-		}
-		e.keep(a)
-		e.outcome = pool.Good
-		q.open(a, e.choice.Version)
-		q.observeLength()
-		q.finish(http.StatusOK, "answered")
-		return result{done: true}
+		e.stallTimer.Reset(q.streamStall())
+		es, err = e.read()
+	}
+	g.flush()
+	if err := e.streamError(err); err != nil {
+		return result{sent: true, mayHaveRun: true, err: err}
 	}
+	e.keep(e.response)
+	e.outcome = pool.Good
+	q.open(e.response, e.choice.Version)
+	q.observeLength()
+	q.finish(http.StatusOK, "answered")
+	return result{done: true}
 }
 
 // open writes the status and headers, once, from the first target that has sent an event, and
