--- a/io/front/send.go
+++ b/io/front/send.go
@@ -75,6 +75,7 @@
 	if !e.opened {
 		e.attemptsLeft, e.dispatchesLeft = e.attemptsLeft-1, e.dispatchesLeft-1
 		e.criteria = q.takeoverCriteria(e.choice.ID)
+		e.continues = q.stream != nil
 		v = e.open()
 		q.recordDispatch(e, v)
 	}
