--- a/internal/stand/pause.go
+++ b/internal/stand/pause.go
@@ -16,6 +16,8 @@
 	UnframedPartial Fault = "unframed-partial"
 	// UnframedShort ends a stream after its last event but one.
 	UnframedShort Fault = "unframed-short"
+	// UnframedEmpty ends a stream before its first event.
+	UnframedEmpty Fault = "unframed-empty"
 	// UnframedReset resets the connection after the second event of a stream, or in the
 	// middle of the body of a plain response.
 	UnframedReset Fault = "unframed-reset"
@@ -114,6 +116,8 @@
 		time.Sleep(r.Delay)
 		t := VersionEventText(r.Version, n)
 		switch {
+		case f == UnframedEmpty:
+			return
 		case f == UnframedPartial && n == from+3:
 			write(c, "%s", strings.TrimSuffix(t, "\n\n"))
 			return
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -125,7 +125,7 @@
 // causes maps the errors of dispatches to metric labels.
 var causes = map[error]string{
 	errNotRun: "not-run", errStalled: "silent", errServerError: "target-failed", errWrongRequest: "foreign-answer",
-	errNoReceipt: "no-receipt", errPartialEvent: "partial-event", errDeclined: "declined", errSilenceEnded: "silence-ended", errTimeout: "timeout", errStopped: "stopping",
+	errNoReceipt: "no-receipt", errPartialEvent: "partial-event", errNoEvents: "no-events", errDeclined: "declined", errSilenceEnded: "silence-ended", errTimeout: "timeout", errStopped: "stopping",
 }
 
 // allow reports whether a line of the kind may be written now, and how many were
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -47,6 +47,7 @@
 	errNotRun       = errors.New("target did not run the request")
 	errServerError  = errors.New("target returned a server error")
 	errPartialEvent = errors.New("stream ended in the middle of an event")
+	errNoEvents     = errors.New("stream without length ended before its first event")
 	errDeclined     = errors.New("target declined to go on with the response")
 	errSilenceEnded = errors.New("silent target has gone on")
 )
@@ -466,5 +467,9 @@
 	return o
 }
 
+// unframed reports whether the end of the body is the end of the connection, so that a response
+// that was broken off may look complete.
+func unframed(a *http.Response) bool { return a.ContentLength < 0 && len(a.TransferEncoding) == 0 }
+
 // responseHeaders returns the end-to-end headers of a response.
 func responseHeaders(h http.Header) http.Header { return endToEnd(h) }
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -61,6 +61,8 @@
 		return fmt.Errorf("read stream: %w", err)
 	case e.events.Partial():
 		return errPartialEvent
+	case len(e.first) == 0 && e.lastEvent == "" && unframed(e.response):
+		return errNoEvents
 	}
 	return nil
 }
