--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -126,7 +126,7 @@
 	address string
 	// Reused is true if an earlier request used the connection.
 	Reused bool
-	// idleSince is when the last request ended.
+	// idleSince is when the connection was opened or the last request ended.
 	idleSince time.Time
 	// keepAlive is the target's keep-alive timeout.
 	keepAlive time.Duration
@@ -149,6 +149,17 @@
 	}
 }
 
+// Check returns nil if an idle connection to the address is open or one can be opened. The
+// connection stays idle.
+func (d *Dialer) Check(ctx context.Context, address string) error {
+	c, err := d.Get(ctx, address, Lenient)
+	if err != nil {
+		return err
+	}
+	d.keep(c)
+	return nil
+}
+
 // take removes and returns the idle connection that was used last, or nil.
 func (d *Dialer) take(address string) *Conn {
 	d.mu.Lock()
@@ -171,7 +182,7 @@
 	d.mu.Lock()
 	d.opened++
 	d.mu.Unlock()
-	return &Conn{net: n, reader: bufio.NewReaderSize(n, readBuffer), address: address, keepAlive: defaultKeepAlive}, nil
+	return &Conn{net: n, reader: bufio.NewReaderSize(n, readBuffer), address: address, idleSince: time.Now(), keepAlive: defaultKeepAlive}, nil
 }
 
 // Counts returns how many connections were opened and how often an idle one was taken.
@@ -216,6 +227,11 @@
 	if s, ok := keepAliveTimeout(a.Header.Get("Keep-Alive")); ok {
 		c.keepAlive = s
 	}
+	d.keep(c)
+}
+
+// keep makes a connection idle, or closes it if enough connections are.
+func (d *Dialer) keep(c *Conn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.idle[c.address]) >= maxIdle {
--- a/io/front/codec.go
+++ b/io/front/codec.go
@@ -31,6 +31,8 @@
 	// FirstAttempt is the ID of the request that brought the first event of the stream that
 	// the caller resumes; "" if it names none.
 	FirstAttempt string
+	// Parts are the IDs of the parts of the prompt that other requests may share.
+	Parts []string
 }
 
 // Dispatch is the decoded form of the headers that are added when a request is
--- /dev/null
+++ b/io/front/crash.go
@@ -0,0 +1,67 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"syscall"
+	"time"
+
+	"kingcupstand/core/pool"
+)
+
+const (
+	// begunEvents is the number of events after which a target has evidently begun to answer a
+	// request without crashing.
+	begunEvents = 8
+	// crashChecks is how often a front tries to connect to a target that has broken off a
+	// response, with crashCheckInterval in between, before it takes it for running. The
+	// connections of a process that crashes may end shortly before its listener.
+	crashChecks        = 3
+	crashCheckInterval = 50 * time.Millisecond
+)
+
+// suspectsCrash reports whether the request may have crashed its target: the target broke off
+// the connection, and had hardly begun to answer.
+func (e *exchange) suspectsCrash() bool {
+	return e.outcome == pool.Broken && e.broken && e.received < begunEvents && len(e.request.call.Parts) > 0 && e.ctx.Err() == nil
+}
+
+// crashCheck is a check whether a target has crashed, with the parts of the prompts that it had
+// hardly begun to answer.
+type crashCheck struct {
+	choice pool.Choice
+	parts  []string
+}
+
+// checkCrash checks whether a target that has broken off a response has crashed.
+func (f *Front) checkCrash(s *state, c pool.Choice, parts []string) {
+	k := s.crashChecks[c.ID]
+	if k == nil {
+		k = &crashCheck{choice: c}
+		s.crashChecks[c.ID] = k
+		go f.runCrashCheck(k)
+	}
+	for _, p := range parts {
+		if !slices.Contains(k.parts, p) {
+			k.parts = append(k.parts, p)
+		}
+	}
+}
+
+// runCrashCheck tries to connect to a target. It has crashed if its host refuses connections: a
+// target that can't be reached, or still listens, has another fault.
+func (f *Front) runCrashCheck(k *crashCheck) {
+	var err error
+	for n := 0; n < crashChecks && !errors.Is(err, syscall.ECONNREFUSED); n++ {
+		if n > 0 {
+			time.Sleep(crashCheckInterval)
+		}
+		err = f.dialer.Check(context.Background(), k.choice.Address)
+	}
+	crashed := errors.Is(err, syscall.ECONNREFUSED)
+	f.loop.Post(func(_ time.Duration, s *state) {
+		delete(s.crashChecks, k.choice.ID)
+		f.log("crash", "target broke off responses", "target", k.choice.ID, "address", k.choice.Address, "crashed", crashed, "parts", k.parts)
+	})
+}
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -148,6 +148,10 @@
 	// prompt is the number of prompt tokens that the target has yet to process; 0 after the
 	// first byte.
 	prompt int
+	// received counts the events that the target has sent, and broken is true if it has broken
+	// off the connection.
+	received int
+	broken   bool
 	// outcome is reported to the pool, which derives the target's health from it.
 	outcome pool.Outcome
 	// kept is true if the connection went back to the dialer.
@@ -175,17 +179,21 @@
 	if e.conn != nil && !e.kept {
 		e.conn.Close()
 	}
+	crash := e.suspectsCrash()
 	e.cancel(nil)
 	e.span.End()
 	q.front.loop.Post(func(now time.Duration, s *state) {
 		s.pool.End(now, c.ID, e.prompt, e.outcome)
+		if crash {
+			q.front.checkCrash(s, c, q.call.Parts)
+		}
 		s.sched.AddHold(q.service, time.Since(e.started))
 		s.changed = true
 		q.front.dispatchQueued(now, s, q.service)
 	})
 	if v.err != nil {
 		q.front.log("send", "send ended", "request-id", q.call.ID, "target", c.ID, "arrived", v.sent, "ran", v.mayHaveRun,
-			"running", c.Running, "predicted-ms", c.ExpectedFirstByte.Milliseconds(), "took-ms", time.Since(e.started).Milliseconds(), "error", v.err.Error())
+			"running", c.Running, "predicted-ms", c.ExpectedFirstByte.Milliseconds(), "took-ms", time.Since(e.started).Milliseconds(), "events", e.received, "parts", q.call.Parts, "error", v.err.Error())
 	}
 	return v
 }
@@ -201,6 +209,7 @@
 	}
 	a, r, err := e.receive()
 	if err != nil {
+		e.broken = !errors.Is(err, errWrongRequest)
 		return result{sent: true, mayHaveRun: true, err: err}
 	}
 	if e.overlap != nil {
@@ -352,6 +361,7 @@
 	var b bytes.Buffer
 	n, err := io.Copy(&b, io.LimitReader(a.Body, maxBuffered+1))
 	if err != nil {
+		e.broken = true
 		return fmt.Errorf("read response body: %w", err)
 	}
 	e.plain = &response{status: a.StatusCode, header: responseHeaders(a.Header), body: b.Bytes(), whole: n <= maxBuffered, length: a.ContentLength}
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -35,6 +35,8 @@
 	spent        *spent.Estimator
 	length       *length.Estimator
 	origins      *origin.Table
+	// crashChecks are the checks under way whether targets have crashed, by target.
+	crashChecks map[string]*crashCheck
 	// slotsAssigned is when slots were last assigned to fronts.
 	slotsAssigned time.Duration
 	// creditsRefilled is when the credits for sends beyond own slots were last refilled.
@@ -85,6 +87,8 @@
 		length:    length.New(),
 		origins:   origin.New(),
 		reachable: map[string]bool{},
+
+		crashChecks: map[string]*crashCheck{},
 	}
 }
 
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -38,6 +38,7 @@
 		n, err := e.response.Body.Read(e.buffer)
 		es := e.events.Push(e.buffer[:n])
 		if len(es) > 0 || err != nil {
+			e.received += len(es)
 			return es, err
 		}
 	}
@@ -56,6 +57,7 @@
 // streamError returns the error of a stream whose last read returned err, or nil if it is
 // complete.
 func (e *exchange) streamError(err error) error {
+	e.broken = true
 	switch {
 	case !errors.Is(err, io.EOF):
 		return fmt.Errorf("read stream: %w", err)
@@ -64,6 +66,7 @@
 	case len(e.first) == 0 && e.lastEvent == "" && unframed(e.response):
 		return errNoEvents
 	}
+	e.broken = false
 	return nil
 }
 
