--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -62,6 +62,7 @@
 	// limit is the header line with the limit that responses name, or "".
 	limit   string
 	silence silence
+	crash   crash
 }
 
 // faults holds the fault of the next requests and the number left of them. Replicas may
@@ -88,7 +89,13 @@
 
 // NewReplica returns a replica that serves on a free port of the loopback address.
 func NewReplica(id string, events int, delay time.Duration) (*Replica, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	return NewReplicaAt("127.0.0.1:0", id, events, delay)
+}
+
+// NewReplicaAt returns a replica that serves on an address. Replicas that crash need one that
+// no other server takes after the crash, while the store still lists it.
+func NewReplicaAt(address, id string, events int, delay time.Duration) (*Replica, error) {
+	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("replica: %w", err)
 	}
@@ -178,6 +185,9 @@
 		}
 		r.mu.Lock()
 		r.conns[c] = true
+		if r.crash.down { // accepted just before the crash
+			resetConn(c)
+		}
 		r.mu.Unlock()
 		go r.loop(&pausedConn{c, &r.silence})
 	}
@@ -246,6 +256,11 @@
 		head = fmt.Sprintf("Attempt-Id: %s\r\n", id)
 	}
 	r.pauseAt(f, 0)
+	if r.poisoned(q) {
+		time.Sleep(crashDelay)
+		r.Crash()
+		return false
+	}
 	if r.Events > 0 {
 		return r.stream(c, q, f, head)
 	}
