--- /dev/null
+++ b/core/poison/check.go
@@ -0,0 +1,126 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// suspect is a part that enough crashes count for.
+type suspect struct {
+	*entry
+	crashes []crash
+	// due is when the part may be isolated.
+	due time.Duration
+}
+
+// before orders suspects by how likely they are the cause.
+func (s suspect) before(o suspect) bool {
+	return cmp.Or(
+		cmp.Compare(rank(s.sound != never), rank(o.sound != never)),
+		cmp.Compare(len(o.crashes), len(s.crashes)),
+		cmp.Compare(s.part, o.part),
+	) < 0
+}
+
+// ties reports whether nothing tells the two apart.
+func (s suspect) ties(o suspect) bool {
+	return s.sound == never && o.sound == never && len(s.crashes) == len(o.crashes) &&
+		!slices.ContainsFunc(s.crashes, func(c crash) bool {
+			return !slices.ContainsFunc(o.crashes, func(d crash) bool { return c.id == d.id })
+		})
+}
+
+// Check isolates parts, ends isolations and forgets what is too old. It is cheap if nothing is
+// due.
+func (t *Table) Check(now time.Duration) []Change {
+	if now < t.due {
+		return nil
+	}
+	next := now + hold
+	cs := t.expire(now, &next)
+	// Crashes of a likelier suspect that isn't due yet are not charged to others meanwhile.
+	reserved := map[CrashID]bool{}
+	skip := func(c CrashID) bool { return reserved[c] || t.isExplained(c) }
+	for {
+		ss := t.suspects(skip)
+		if len(ss) == 0 {
+			break
+		}
+		first := ss[0]
+		for _, s := range ss[1:] {
+			if s.before(first) {
+				first = s
+			}
+		}
+		if first.due > now {
+			next = min(next, first.due)
+			for _, c := range first.crashes {
+				reserved[c.id] = true
+			}
+			continue
+		}
+		for _, s := range ss {
+			if s.entry == first.entry || s.ties(first) {
+				cs = t.isolate(now, now, s.entry, len(s.crashes), cs)
+				next = min(next, now+hold)
+			}
+		}
+	}
+	t.due = next
+	slices.SortFunc(cs, func(a, b Change) int { return cmp.Compare(a.Part, b.Part) })
+	return cs
+}
+
+// suspects returns the parts that enough crashes count for.
+func (t *Table) suspects(skip func(CrashID) bool) []suspect {
+	var ss []suspect
+	for _, e := range t.entries {
+		n := e.need()
+		if e.isolated != never || len(e.crashes) < n {
+			continue
+		}
+		cs := e.counting(skip)
+		if len(cs) < n {
+			continue
+		}
+		slices.SortFunc(cs, func(a, b crash) int { return cmp.Compare(a.learned, b.learned) })
+		ss = append(ss, suspect{e, cs, cs[n-1].learned + settle})
+	}
+	return ss
+}
+
+// expire ends isolations and forgets what is too old, and lowers next to when it next has to.
+func (t *Table) expire(now time.Duration, next *time.Duration) []Change {
+	var cs []Change
+	for p, e := range t.entries {
+		if e.isolated != never && now-e.isolated >= hold {
+			cs = append(cs, Change{Part: p, Crashes: len(e.crashes)})
+			e.since = e.isolated + hold
+			e.keep = e.since + hold
+			e.isolated, e.sound, t.set = never, never, nil
+			e.forget(e.since)
+		}
+		e.forget(now - memory)
+		if e.isolated != never {
+			*next = min(*next, e.isolated+hold)
+		}
+		for _, c := range e.crashes {
+			*next = min(*next, c.at+memory)
+		}
+		if e.isolated == never && len(e.crashes) == 0 {
+			if now >= e.keep {
+				delete(t.entries, p)
+				continue
+			}
+			*next = min(*next, e.keep)
+		}
+	}
+	for c, x := range t.explained {
+		// Another part may hold the crash with a time that is later by a report's delay.
+		if now-x.at >= 2*memory {
+			delete(t.explained, c)
+		}
+	}
+	return cs
+}
