--- a/io/front/crash.go
+++ b/io/front/crash.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"kingcupstand/core/poison"
 	"kingcupstand/core/pool"
 )
 
@@ -60,8 +61,11 @@
 		err = f.dialer.Check(context.Background(), k.choice.Address)
 	}
 	crashed := errors.Is(err, syscall.ECONNREFUSED)
-	f.loop.Post(func(_ time.Duration, s *state) {
+	f.loop.Post(func(now time.Duration, s *state) {
 		delete(s.crashChecks, k.choice.ID)
 		f.log("crash", "target broke off responses", "target", k.choice.ID, "address", k.choice.Address, "crashed", crashed, "parts", k.parts)
+		if crashed {
+			f.recordCrash(now, s, poison.CrashOf(k.choice.ID, k.choice.Born), Call{Parts: k.parts}.parts())
+		}
 	})
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -53,6 +53,7 @@
 	"golang.org/x/net/netutil"
 
 	"kingcupstand/core/plan"
+	"kingcupstand/core/poison"
 	"kingcupstand/io/actor"
 	"kingcupstand/io/dial"
 	"kingcupstand/io/gossip"
@@ -99,11 +100,16 @@
 	fetching atomic.Bool
 	// primaryWatcher is true if this front watches the platform with the short interval.
 	primaryWatcher atomic.Bool
+	// isolatedParts are the parts of prompts that crash targets, and when their isolation ends,
+	// on the loop's clock. suspects is true while any part is suspected.
+	isolatedParts atomic.Pointer[map[poison.Part]time.Duration]
+	suspects      atomic.Bool
 	// stopStarted is when the shutdown started; nil before.
 	stopStarted atomic.Pointer[time.Time]
-	// started is when Run was called, and joined is true once a peer's heartbeat has arrived.
+	// started is when Run was called, and joined is closed once a peer's heartbeat has arrived.
 	started time.Time
-	joined  atomic.Bool
+	joined  chan struct{}
+	join    sync.Once
 }
 
 var (
@@ -124,9 +130,11 @@
 		source:      p,
 		dialer:      dial.New(t.Log),
 		incarnation: uint64(time.Now().UnixMilli()),
+		joined:      make(chan struct{}),
 	}
 	f.meter = newMeter(t)
 	f.plan.Store(plan.Empty())
+	f.isolatedParts.Store(&map[poison.Part]time.Duration{})
 	r := rand.New(rand.NewPCG(binary.NativeEndian.Uint64(b[:8]), binary.NativeEndian.Uint64(b[8:])))
 	f.loop = actor.New(newState(s, r))
 	return f, nil
@@ -251,13 +259,32 @@
 // itself ready all the same. Peers answer its own first heartbeat within about 300 ms.
 const joinTimeout = 500 * time.Millisecond
 
-// informed reports whether the front knows what its peers know of limits of targets and usage
-// of allowances, or there is no peer to learn it from.
+// informed reports whether the front knows what its peers know of limits of targets, usage of
+// allowances and parts of prompts that crash targets, or there is no peer to learn it from.
 func (f *Front) informed() bool {
-	return f.joined.Load() || time.Since(f.started) >= joinTimeout ||
+	select {
+	case <-f.joined:
+		return true
+	default:
+	}
+	return time.Since(f.started) >= joinTimeout ||
 		!slices.ContainsFunc(f.settings.Seeds, func(a string) bool { return a != f.settings.Peer })
 }
 
+// waitInformed waits until the front is informed, but not beyond the end of ctx.
+func (f *Front) waitInformed(ctx context.Context) {
+	if f.informed() {
+		return
+	}
+	t := time.NewTimer(joinTimeout - time.Since(f.started))
+	defer t.Stop()
+	select {
+	case <-f.joined:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // ready handles readiness checks: 200 if the front accepts new connections, else 503.
 func (f *Front) ready(w http.ResponseWriter, _ *http.Request) {
 	if f.stopping.Load() || f.plan.Load().Revision() == 0 || !f.informed() {
--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -71,6 +71,7 @@
 		}
 	}
 	s.checkList(now)
+	f.suspectsChanged(s, s.poison.Check(now), "")
 	live, all := s.peers.Count(now)
 	s.quota.SetFronts(now, live, all)
 	s.budget.SetFronts(all)
@@ -141,6 +142,9 @@
 	for _, r := range s.pool.LimitReports(now) {
 		m.Limits = append(m.Limits, encodeLimit(r))
 	}
+	for _, r := range s.poison.Reports(now) {
+		m.Suspects = append(m.Suspects, encodeSuspect(r))
+	}
 	for h, u := range s.quota.Uses(now) {
 		m.Workspaces = append(m.Workspaces, &wire.WorkspaceUse{Workspace: h, Used: u.Used, Level: u.Level})
 	}
@@ -175,7 +179,7 @@
 			f.telem.Log.Info("dependency regained", "dependency", "peer", "peer", m.Peer, "incarnation", m.Incarnation, "plan", m.Plan)
 		}
 		f.applyHeartbeat(now, s, m)
-		f.joined.Store(true)
+		f.join.Do(func() { close(f.joined) })
 	})
 }
 
@@ -189,6 +193,7 @@
 	s.pool.SetPeer(m.Peer, us)
 	f.mergeLimits(now, s, m.Peer, m.Limits)
 	f.mergeOrigins(now, s, m.Streams)
+	f.mergeSuspects(now, s, m.Peer, m.Suspects)
 	s.confirmList(now, m)
 	ws := quota.Uses{}
 	for _, w := range m.Workspaces {
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -35,6 +35,7 @@
 	revision    tally.Gauge
 	targets     tally.Gauge
 	limited     tally.Gauge
+	isolated    tally.Gauge
 	peers       tally.Gauge
 	opened      tally.Gauge
 	reused      tally.Gauge
@@ -56,6 +57,7 @@
 		revision:    t.Scope.Gauge("plan_revision"),
 		targets:     t.Scope.Gauge("targets"),
 		limited:     t.Scope.Gauge("targets_limited"),
+		isolated:    t.Scope.Gauge("prompt_parts_isolated"),
 		peers:       t.Scope.Gauge("peers_heard"),
 		opened:      t.Scope.Gauge("connections_opened"),
 		reused:      t.Scope.Gauge("connections_reused"),
--- a/io/front/refuse.go
+++ b/io/front/refuse.go
@@ -50,6 +50,8 @@
 		reason = "stopping"
 	case errors.Is(err, errVersionGone):
 		reason = "version-gone"
+	case errors.Is(err, errIsolated):
+		reason = "isolated-part"
 	}
 	if err != nil && q.summary.detail == "" {
 		q.summary.detail = err.Error()
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -14,6 +14,7 @@
 
 	"kingcupstand/core/origin"
 	"kingcupstand/core/plan"
+	"kingcupstand/core/poison"
 	"kingcupstand/core/pool"
 	"kingcupstand/io/actor"
 )
@@ -56,6 +57,7 @@
 	// arrived is when the request reached the front.
 	arrived   time.Time
 	call      Call
+	parts     []poison.Part
 	plan      *plan.Plan
 	route     *plan.Route
 	workspace *plan.Workspace
@@ -163,6 +165,13 @@
 	if s, r := q.readBody(); s != 0 {
 		return s, r, 0
 	}
+	if q.parts = q.call.parts(); q.parts != nil {
+		q.front.waitInformed(ctx) // callers may be sent to a front that isn't ready
+	}
+	if left, ok := q.isolated(); ok {
+		q.summary.detail = errIsolated.Error()
+		return http.StatusServiceUnavailable, "isolated-part", left
+	}
 	q.deadline = q.arrived.Add(q.timeout())
 	if q.closing() {
 		return http.StatusServiceUnavailable, "stopping", stoppingRetry
@@ -356,6 +365,11 @@
 			}
 			continue
 		}
+		if left, ok := q.isolated(); ok {
+			q.release(g.choice)
+			q.fail(ctx, errIsolated, left)
+			return nil
+		}
 		q.summary.predicted, q.summary.running, q.summary.listAge = g.choice.ExpectedFirstByte, g.choice.Running, g.listAge
 		return q.newExchange(ctx, g.choice, q.lastEvent(), q.dispatches)
 	}
@@ -410,6 +424,9 @@
 	if ctx.Err() != nil || q.dispatches >= maxDispatches {
 		return false
 	}
+	if _, ok := q.isolated(); ok {
+		return false
+	}
 	if v.mayHaveRun && !q.route.Repeatable() {
 		return false
 	}
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -152,6 +152,8 @@
 	// off the connection.
 	received int
 	broken   bool
+	// sound is true if the response shows that the target can answer the request.
+	sound bool
 	// outcome is reported to the pool, which derives the target's health from it.
 	outcome pool.Outcome
 	// kept is true if the connection went back to the dialer.
@@ -179,11 +181,14 @@
 	if e.conn != nil && !e.kept {
 		e.conn.Close()
 	}
-	crash := e.suspectsCrash()
+	crash, sound := e.suspectsCrash(), e.sound
 	e.cancel(nil)
 	e.span.End()
 	q.front.loop.Post(func(now time.Duration, s *state) {
 		s.pool.End(now, c.ID, e.prompt, e.outcome)
+		if sound {
+			q.front.recordSound(now, s, q.parts)
+		}
 		if crash {
 			q.front.checkCrash(s, c, q.call.Parts)
 		}
@@ -372,6 +377,7 @@
 	e.outcome = pool.Good
 	switch {
 	case success:
+		e.sound = !unframed(a)
 		return nil
 	case a.StatusCode >= http.StatusInternalServerError && a.StatusCode != http.StatusGatewayTimeout:
 		e.outcome = pool.Failed
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -8,6 +8,7 @@
 	"kingcupstand/core/origin"
 	"kingcupstand/core/peers"
 	"kingcupstand/core/plan"
+	"kingcupstand/core/poison"
 	"kingcupstand/core/pool"
 	"kingcupstand/core/quota"
 	"kingcupstand/core/retry"
@@ -35,6 +36,7 @@
 	spent        *spent.Estimator
 	length       *length.Estimator
 	origins      *origin.Table
+	poison       *poison.Table
 	// crashChecks are the checks under way whether targets have crashed, by target.
 	crashChecks map[string]*crashCheck
 	// slotsAssigned is when slots were last assigned to fronts.
@@ -86,6 +88,7 @@
 		spent:     spent.New(),
 		length:    length.New(),
 		origins:   origin.New(),
+		poison:    poison.New(),
 		reachable: map[string]bool{},
 
 		crashChecks: map[string]*crashCheck{},
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -39,6 +39,7 @@
 		es := e.events.Push(e.buffer[:n])
 		if len(es) > 0 || err != nil {
 			e.received += len(es)
+			e.noteBegun()
 			return es, err
 		}
 	}
@@ -110,6 +111,8 @@
 	}
 	e.keep(e.response)
 	e.outcome = pool.Good
+	// A stream without length may have been broken off between two events.
+	e.sound = e.sound || !unframed(e.response)
 	q.open(e.response, e.choice.Version)
 	q.observeLength()
 	q.finish(http.StatusOK, "answered")
