--- a/io/front/refuse.go
+++ b/io/front/refuse.go
@@ -33,6 +33,9 @@
 	s, reason := q.failureStatus(err)
 	if s == http.StatusServiceUnavailable {
 		q.refund()
+		if retryAfter == 0 {
+			retryAfter = failedRetry
+		}
 	}
 	q.refuse(s, reason, retryAfter)
 }
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -38,8 +38,11 @@
 	// defaultBodyBytes is the limit of request bodies if the plan sets none.
 	defaultBodyBytes = 4 << 20
 	// maxDispatches is the largest number of dispatches of one request, including those
-	// that failed to connect.
-	maxDispatches = 4
+	// that failed to connect: many targets may have crashed that are still listed.
+	maxDispatches = 16
+	// failedRetry is the Retry-After of a request that no target has run, if the queue gives
+	// none. Targets that could not be reached are tried again after about that time.
+	failedRetry = 500 * time.Millisecond
 )
 
 // Causes for which a request's context is canceled.
