--- a/io/front/send.go
+++ b/io/front/send.go
@@ -129,8 +129,8 @@
 	// overlap bounds the time for which this target runs the request beside the one that it is
 	// to take it over from; nil if there is none.
 	overlap *time.Timer
-	// continues is true if the caller has the beginning of a response, or may still get it from
-	// another target, so that only a success may be forwarded.
+	// continues is true if the caller has the beginning of a response, so that only a success may
+	// be forwarded.
 	continues bool
 	// opened is true once there is a response to forward: a stream with its first events, or
 	// plain.
--- a/io/front/takeover.go
+++ b/io/front/takeover.go
@@ -205,7 +205,7 @@
 		return err
 	}
 	n := q.newExchange(e.parent, g.choice, s.lastEvent, e.sends+1)
-	n.continues = true
+	n.continues = e.continues || s.received > 0
 	n.criteria = e.criteria
 	n.criteria.Exclude = append(slices.Clone(e.criteria.Exclude), n.choice.ID)
 	n.overlap = time.AfterFunc(time.Hour, func() { e.leave(s) })
