--- a/io/front/refuse.go
+++ b/io/front/refuse.go
@@ -19,8 +19,7 @@
 		return
 	}
 	if q.http.Context().Err() != nil {
-		q.finish(0, "caller-left")
-		return
+		q.abort("caller-left") // a return would send an empty response with status 200
 	}
 	if q.fallback != nil {
 		q.fallback.write(q)
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -332,8 +332,8 @@
 		switch {
 		case v.done:
 			return
-		case v.abort:
-			q.abort(fmt.Sprintf("cut: %v", v.err))
+		case v.abort != "":
+			q.abort(v.abort)
 		}
 		q.summary.lastError = v.err
 		if !q.retry(ctx, v) {
@@ -405,8 +405,9 @@
 type result struct {
 	// done is true if the caller has its response or has disconnected.
 	done bool
-	// abort is true if the response to the caller has begun and can't be continued.
-	abort bool
+	// abort is why the caller's connection is to be broken, as the response that has begun can't
+	// be continued; "" if it isn't.
+	abort string
 	// sent is true if any byte of the request may have reached the target.
 	sent bool
 	// mayHaveRun is true if the target may have run the request.
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -414,7 +414,7 @@
 	e.plain.write(q)
 	if !e.plain.whole {
 		if _, err := io.Copy(q.writer, a.Body); err != nil {
-			return result{sent: true, mayHaveRun: true, err: err, abort: true}
+			return result{sent: true, mayHaveRun: true, err: err, abort: fmt.Sprintf("cut: %v", err)}
 		}
 		e.keep(a)
 		e.outcome = pool.Good
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -94,8 +94,7 @@
 			if werr := q.forward(es); werr != nil {
 				e.outcome = pool.Neutral
 				e.prompt = 0
-				q.finish(0, "caller-left")
-				return result{done: true}
+				return result{sent: true, mayHaveRun: true, abort: "caller-left"}
 			}
 			e.takeover.forwarded(q.lastEvent())
 		}
