--- a/io/front/front.go
+++ b/io/front/front.go
@@ -73,8 +73,13 @@
 	// of a load balancer that checks once a second, and one check on its way.
 	drainDelay = 3200 * time.Millisecond
 	// exitReserve is the fraction of the grace period that is kept for the exit of the
-	// process.
-	exitReserve = 1.0 / 32
+	// process, and answerReserve the fraction before it in which requests that are aborted
+	// get their answers.
+	exitReserve   = 1.0 / 32
+	answerReserve = 1.0 / 32
+	// flushTime is how long a front that has answered all requests waits for the answers to be
+	// written.
+	flushTime = 250 * time.Millisecond
 )
 
 // Front is one front process. Its methods are safe for concurrent use.
@@ -93,8 +98,11 @@
 	// from earlier ones at the same address.
 	incarnation uint64
 	stopping    atomic.Bool
-	// abortAt is when requests still in flight are aborted; nil before a shutdown.
+	// abortAt is when requests still in flight are aborted; nil before a shutdown. The context
+	// aborted ends then.
 	abortAt  atomic.Pointer[time.Time]
+	aborted  context.Context
+	abort    context.CancelFunc
 	inflight atomic.Int64
 	// fetching is true while documents are being fetched from a peer.
 	fetching atomic.Bool
@@ -132,6 +140,7 @@
 		incarnation: uint64(time.Now().UnixMilli()),
 		joined:      make(chan struct{}),
 	}
+	f.aborted, f.abort = context.WithCancel(context.Background())
 	f.meter = newMeter(t)
 	f.plan.Store(plan.Empty())
 	f.isolatedParts.Store(&map[poison.Part]time.Duration{})
@@ -171,6 +180,9 @@
 	f.telem.Log.Info("started", "role", "front", "callers", f.settings.Callers, "peer", f.settings.Peer,
 		"data-centre", f.settings.DataCentre, "incarnation", f.incarnation, "seeds", f.settings.Seeds)
 	err = f.wait(ctx, stop, errs)
+	if f.stopping.Load() {
+		f.flush(callers)
+	}
 	cancel()
 	for _, l := range ls {
 		err = errors.Join(err, l.close())
@@ -306,14 +318,15 @@
 	case <-stop:
 	}
 	g := time.Duration(f.settings.GraceMs) * time.Millisecond
-	end := time.Now().Add(g - time.Duration(float64(g)*exitReserve))
 	now := time.Now()
+	end := now.Add(g - time.Duration(float64(g)*(exitReserve+answerReserve)))
 	f.stopStarted.Store(&now)
 	f.abortAt.Store(&end)
 	f.stopping.Store(true)
 	f.telem.Log.Info("stopping", "in-flight", f.inflight.Load(), "grace-ms", f.settings.GraceMs)
 	f.drain(ctx, time.Now().Add(min(drainDelay, g/2)), end)
 	n := f.inflight.Load()
+	f.abort()
 	f.telem.Log.Info("stopped", "cut", n)
 	if n > 0 {
 		return fmt.Errorf("%d requests: %w", n, ErrAborted)
@@ -321,6 +334,18 @@
 	return nil
 }
 
+// flush waits until the answers to all requests are written: a handler returns before that. It
+// closes connections that carry no request.
+func (f *Front) flush(callers *http.Server) {
+	g := time.Duration(f.settings.GraceMs) * time.Millisecond
+	t := time.Until(*f.abortAt.Load()) + time.Duration(float64(g)*answerReserve)
+	ctx, cancel := context.WithTimeout(context.Background(), min(t, flushTime))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		f.telem.Log.Info("connections are still open at the exit", "in-flight", f.inflight.Load(), "error", err.Error())
+	}
+}
+
 // drain waits until no request is in flight and load balancers have had time to stop
 // sending new ones, but not beyond end.
 func (f *Front) drain(ctx context.Context, earliest, end time.Time) {
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -143,10 +143,9 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, q.deadline, errTimeout)
 	defer cancel()
-	if at := q.front.abortAt.Load(); at != nil {
-		ctx, cancel = context.WithDeadlineCause(ctx, *at, errStopped)
-		defer cancel()
-	}
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	defer context.AfterFunc(q.front.aborted, func() { stop(errStopped) })()
 	q.loop(ctx)
 }
 
