--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -1,16 +1,18 @@
 package fleet
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
 // Relay forwards TCP connections to a process and simulates network faults: closed and
 // reset connections, refused connections, delay, and connections on which no bytes
-// arrive in one direction or both. It is safe for concurrent use.
+// arrive in one direction or both. It passes on resets. It is safe for concurrent use.
 type Relay struct {
 	listener net.Listener
 	target   string
@@ -90,6 +92,9 @@
 			}
 		}
 		if err != nil {
+			if errors.Is(err, syscall.ECONNRESET) {
+				resetOnClose(to) // an orderly end would complete a response without framing
+			}
 			r.drop(from)
 			r.drop(to)
 			return
@@ -97,6 +102,13 @@
 	}
 }
 
+// resetOnClose makes Close reset the connection.
+func resetOnClose(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // an error means that it is closed already
+	}
+}
+
 // wait blocks while the direction is frozen, and then for the delay.
 func (r *Relay) wait(frozen *bool) {
 	r.mu.Lock()
@@ -138,9 +150,7 @@
 func (r *Relay) Reset() {
 	r.update(func() {
 		for c := range r.conns {
-			if t, ok := c.(*net.TCPConn); ok {
-				_ = t.SetLinger(0) // an error means that it is closed already
-			}
+			resetOnClose(c)
 		}
 		r.closeAll()
 	})
