--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -56,6 +57,8 @@
 	faults   *faults
 	mu       sync.Mutex
 	runs     map[string]int
+	// took holds the faults that the runs of each id took.
+	took     map[string][]Fault
 	requests []*http.Request
 	arrivals []Arrival
 	conns    map[net.Conn]bool
@@ -99,7 +102,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("replica: %w", err)
 	}
-	r := &Replica{ID: id, Events: events, Delay: delay, listener: l, faults: &faults{}, runs: map[string]int{}, conns: map[net.Conn]bool{}}
+	r := &Replica{ID: id, Events: events, Delay: delay, listener: l, faults: &faults{}, runs: map[string]int{}, took: map[string][]Fault{}, conns: map[net.Conn]bool{}}
 	go r.run()
 	return r, nil
 }
@@ -136,6 +139,13 @@
 	return r.runs[id]
 }
 
+// Took reports whether a run of the request with an id took the fault.
+func (r *Replica) Took(id string, f Fault) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Contains(r.took[id], f)
+}
+
 // Requests returns the heads of all requests that were run, in order.
 func (r *Replica) Requests() []*http.Request {
 	r.mu.Lock()
@@ -224,7 +234,11 @@
 	defer r.mu.Unlock()
 	r.arrivals = append(r.arrivals, Arrival{q.Header.Get("Attempt-Id"), time.Now()})
 	if f != Full && q.Header.Get("Expect-Replica") == r.ID {
-		r.runs[q.Header.Get("Attempt-Id")]++
+		id := q.Header.Get("Attempt-Id")
+		r.runs[id]++
+		if f != NoFault {
+			r.took[id] = append(r.took[id], f)
+		}
 		r.requests = append(r.requests, q)
 	}
 	return f, r.limit
