--- a/internal/soak/limit_test.go
+++ b/internal/soak/limit_test.go
@@ -41,15 +41,15 @@
 func (h *harness) runLimits(end time.Time) {
 	r := rand.New(rand.NewPCG(*seed, 2))
 	for ok := true; ok; ok = time.Now().Before(end) {
-		i := r.IntN(len(h.replicas))
+		i, a := h.latest(r.IntN(len(versions)))
 		for range 2 {
 			l := limitSpan{span{from: time.Now()}, i, 0.5 + 4*r.Float64()}
-			h.replicas[i].SetLimit(fmt.Sprintf("%.2f", l.perSecond))
+			a.SetLimit(fmt.Sprintf("%.2f", l.perSecond))
 			time.Sleep(contactTime + limitWindow + time.Duration(r.IntN(1000))*time.Millisecond)
 			l.to = time.Now()
 			h.limits = append(h.limits, l)
 		}
-		h.replicas[i].SetLimit("")
+		a.SetLimit("")
 	}
 }
 
--- a/internal/soak/silence_test.go
+++ b/internal/soak/silence_test.go
@@ -58,7 +58,7 @@
 func (h *harness) runSilences(end time.Time) {
 	r := rand.New(rand.NewPCG(*seed, 3))
 	for time.Now().Before(end) {
-		a := h.replicas[r.IntN(len(h.replicas))]
+		_, a := h.latest(r.IntN(len(versions)))
 		d := minSilence + time.Duration(r.Int64N(int64(maxSilence-minSilence)))
 		event, n := r.IntN(streamEvents), 1+r.IntN(3)
 		switch k := r.IntN(20); {
@@ -82,7 +82,8 @@
 		}
 		time.Sleep(time.Duration(100+r.IntN(600)) * time.Millisecond)
 	}
-	for _, a := range h.replicas {
+	for i := range versions {
+		_, a := h.latest(i)
 		a.Inject(stand.NoFault, 0)
 	}
 	time.Sleep(maxSilence)
@@ -90,7 +91,7 @@
 
 // took reports whether a run of the attempt id took one of the faults.
 func (h *harness) took(id string, faults ...stand.Fault) bool {
-	return slices.ContainsFunc(h.replicas, func(r *stand.Replica) bool {
+	return slices.ContainsFunc(h.replicas, func(r *replica) bool {
 		return slices.ContainsFunc(faults, func(f stand.Fault) bool { return r.Took(id, f) })
 	})
 }
@@ -102,9 +103,9 @@
 	if h.took(o.id, stand.UnframedShort) {
 		return true
 	}
-	for i, r := range h.replicas {
+	for _, r := range h.replicas {
 		if (r.Took(o.id, stand.Unframed) || r.Took(o.id, stand.UnframedPartial) || r.Took(o.id, stand.UnframedReset)) &&
-			slices.ContainsFunc(h.cut[1+i], span{o.sent, o.ended}.overlaps) {
+			slices.ContainsFunc(h.cuts(r), span{o.sent, o.ended}.overlaps) {
 			return true
 		}
 	}
@@ -131,9 +132,13 @@
 	case o.ended.Sub(o.sent) >= limit:
 		return "time limit"
 	}
-	for i, r := range h.replicas {
-		if r.Runs(o.id) > 0 && excused(h.cut[1+i], w) {
+	for _, r := range h.replicas {
+		switch {
+		case r.Runs(o.id) == 0:
+		case excused(h.cuts(r), w):
 			return "relay"
+		case !r.crashed.IsZero() && r.crashed.Before(o.ended):
+			return "crash"
 		}
 	}
 	return ""
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,9 +3,9 @@
 // the callers received with what the replicas ran.
 //
 // The faults are killed, paused, restarted and reloaded fronts, new configurations, replicas
-// that fall silent and go on, or answer without length and chunks, and connections to the
-// store and the replicas that are closed and refused, frozen in one or both directions,
-// delayed or reset. After the last fault all fronts must serve all routes
+// that fall silent and go on, answer without length and chunks, or crash at a part of a
+// prompt, and connections to the store and the replicas that are closed and refused, frozen in
+// one or both directions, delayed or reset. After the last fault all fronts must serve all routes
 // again within recoveryTime. Then a rolling restart follows, during which no request that
 // runs may be aborted.
 //
@@ -136,7 +136,9 @@
 	resumed int
 	version string
 	// front is the index of the front that the attempt was sent to.
-	front    int
+	front int
+	// poisoned is true if the prompt has the part that crashes replicas.
+	poisoned bool
 	status   int
 	header   http.Header
 	body     string
@@ -156,7 +158,9 @@
 	// changes draws what new configurations change.
 	changes  *rand.Rand
 	silences int
-	replicas []*stand.Replica
+	// replicas holds the first replicas, then those that came back after crashes. mu guards it.
+	replicas []*replica
+	poison   poison
 	relays   []*fleet.Relay
 	fronts   []*process
 	faults   sync.WaitGroup
@@ -178,6 +182,7 @@
 func TestSoak(t *testing.T) {
 	t.Logf("seed %d", *seed)
 	h := &harness{t: t, random: rand.New(rand.NewPCG(*seed, 1)), changes: rand.New(rand.NewPCG(*seed, 4)), store: stand.NewStore()}
+	h.poison.random = rand.New(rand.NewPCG(*seed, 5))
 	h.start()
 	stop := make(chan struct{})
 	var g sync.WaitGroup
@@ -188,6 +193,7 @@
 	end := time.Now().Add(*faultTime)
 	h.faults.Go(func() { h.runLimits(end) })
 	h.faults.Go(func() { h.runSilences(end) })
+	h.faults.Go(func() { h.runPoison(end) })
 	for time.Now().Before(end) {
 		h.injectFault()
 		time.Sleep(time.Duration(100+h.random.IntN(500)) * time.Millisecond)
@@ -213,18 +219,12 @@
 	h.t.Cleanup(server.CloseClientConnections)
 	store := h.relay(strings.TrimPrefix(server.URL, "http://"))
 	for i, service := range []string{"llm", "llm", "llm", "web", "web"} {
-		n := 0
-		if service == "llm" {
-			n = streamEvents
-		}
-		r, err := stand.NewReplica(fmt.Sprintf("i-%d", i), n, 10*time.Millisecond)
+		r, err := h.replica(h.replicaAddress(i), service, versions[i])
 		if err != nil {
 			h.t.Fatal(err)
 		}
-		r.Version = versions[i]
-		h.t.Cleanup(func() { _ = r.Close() })
-		h.replicas = append(h.replicas, r)
-		h.store.Put("servers/"+r.ID, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"z1","version":%q,"slots":8,"state":"ready"}`, service, h.relay(r.Address()).Address(), r.Version))
+		r.slot, r.relay, r.cut = i, h.relay(r.Address()), 1+i
+		h.register(r)
 	}
 	h.began = time.Now()
 	for i := range fronts {
@@ -278,7 +278,7 @@
 	d := time.Duration(200+h.random.IntN(1500)) * time.Millisecond
 	i := h.random.IntN(fronts)
 	p := h.fronts[i]
-	n := h.random.IntN(len(h.relays))
+	n := h.random.IntN(len(h.cut))
 	r := h.relays[n]
 	k := h.random.IntN(10)
 	if k == 9 {
@@ -339,6 +339,7 @@
 // connections.
 func (h *harness) runCaller(stop <-chan struct{}, n int) {
 	r := rand.New(rand.NewPCG(*seed, uint64(n)+10))
+	parts := rand.New(rand.NewPCG(*seed, uint64(n)+100)) // apart, so that the load stays the same
 	c := &http.Client{Transport: &http.Transport{}, Timeout: 5 * time.Second}
 	for i := 0; ; i++ {
 		select {
@@ -349,11 +350,16 @@
 		path := []string{"/chat/", "/get/", "/do/"}[r.IntN(3)] + fmt.Sprint(i)
 		undisturbed := h.undisturbed.Load()
 		f := r.IntN(fronts)
-		o := call(c, h.fronts[f].address, fmt.Sprintf("s-%d-%d", n, i), path)
-		o.undisturbed, o.front = undisturbed, f
+		chat := strings.HasPrefix(path, "/chat/")
+		prompt, poisoned := "", false
+		if chat {
+			prompt, poisoned = h.prompt(parts, n, i)
+		}
+		o := call(c, h.fronts[f].address, fmt.Sprintf("s-%d-%d", n, i), path, withPrompt(prompt))
+		o.undisturbed, o.front, o.poisoned = undisturbed, f, poisoned
 		h.record(o)
-		if strings.HasPrefix(path, "/chat/") {
-			h.resume(c, r, o)
+		if chat {
+			h.resume(c, r, o, prompt)
 		}
 	}
 }
@@ -423,6 +429,7 @@
 	h.checkLimits()
 	h.checkVersions()
 	h.checkAborted()
+	h.checkPoison()
 	counts := map[int]int{}
 	for _, o := range h.outcomes {
 		counts[o.status]++
--- a/internal/soak/version_test.go
+++ b/internal/soak/version_test.go
@@ -53,8 +53,8 @@
 }
 
 // resume takes up a stream that broke after its first event, at any front.
-func (h *harness) resume(c *http.Client, r *rand.Rand, o outcome) {
-	first, all := o.id, ""
+func (h *harness) resume(c *http.Client, r *rand.Rand, o outcome, prompt string) {
+	first, all, poisoned := o.id, "", o.poisoned
 	for i := 0; ; i++ {
 		b, _ := complete(o.body)
 		if o.status == http.StatusOK {
@@ -68,8 +68,8 @@
 		o = call(c, h.fronts[f].address, fmt.Sprintf("%s-%d", first, i+1), o.path, func(h http.Header) {
 			h.Set("Resumes", first)
 			h.Set("Last-Event-Id", fmt.Sprint(n))
-		})
-		o.front, o.resumed, o.version = f, n+1, versionOf(all)
+		}, withPrompt(prompt))
+		o.front, o.resumed, o.version, o.poisoned = f, n+1, versionOf(all), poisoned
 		h.record(o)
 	}
 	h.mu.Lock()
@@ -112,11 +112,11 @@
 }
 
 // twoServe reports whether two replicas of the version of a resumed stream were undisturbed
-// when it was sent. It is true for new streams.
+// when it was sent, and served until it ended. It is true for new streams.
 func (h *harness) twoServe(o outcome) bool {
 	n := 0
-	for i, r := range h.replicas {
-		if r.Events > 0 && r.Version == o.version && !excused(h.cut[1+i], span{o.sent, o.sent}) {
+	for _, r := range h.replicas {
+		if r.Events > 0 && r.Version == o.version && r.serves(o) && !excused(h.cuts(r), span{o.sent, o.sent}) {
 			n++
 		}
 	}
