--- a/internal/stand/crash.go
+++ b/internal/stand/crash.go
@@ -25,7 +25,8 @@
 }
 
 // SetPoison makes the replica crash as soon as it begins to answer a request with the given
-// part in its prompt; "" ends it. Unless then is nil, it is called after any crash.
+// part in its prompt; "" ends it. Unless then is nil, it is called after any crash, with the time
+// at which that began.
 func (r *Replica) SetPoison(part string, then func(at time.Time)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -56,13 +57,14 @@
 		r.mu.Unlock()
 		return
 	}
+	at := time.Now() // before the resets, which take a while
 	r.crash.down = true
 	_ = r.listener.Close() // an error means that it is closed already
 	r.reset()
 	then := r.crash.then
 	r.mu.Unlock()
 	if then != nil {
-		then(time.Now())
+		then(at)
 	}
 }
 
