--- a/io/front/request.go
+++ b/io/front/request.go
@@ -185,7 +185,8 @@
 }
 
 // resolve looks up the route, workspace, rank and service in the request's plan. It
-// returns the status and reason of a refusal, or status 0.
+// returns the status and reason of a refusal, or status 0. A refused request keeps the terms
+// that it has.
 func (q *request) resolve() (status int, reason string) {
 	if !strings.HasPrefix(q.http.RequestURI, "/") {
 		return http.StatusBadRequest, "malformed-target"
@@ -199,16 +200,16 @@
 	if !ok && q.plan.RequiresKey() && !r.Public {
 		return http.StatusUnauthorized, "unknown-key"
 	}
-	q.route, q.workspace, q.tierRank = r, w, r.Rank
-	if w != nil && w.HasRank {
-		q.tierRank = w.Rank
-	}
-	q.service = r.Service(fraction(q.call.ID))
+	service := r.Service(fraction(q.call.ID))
 	if q.origin != nil {
 		if !r.HasService(q.origin.Service) {
 			return http.StatusServiceUnavailable, "service-changed"
 		}
-		q.service = q.origin.Service
+		service = q.origin.Service
+	}
+	q.route, q.workspace, q.tierRank, q.service = r, w, r.Rank, service
+	if w != nil && w.HasRank {
+		q.tierRank = w.Rank
 	}
 	return 0, ""
 }
@@ -354,21 +355,23 @@
 			q.fail(ctx, g.err, g.refusal.RetryAfter)
 			return nil
 		}
-		if ok, s, reason := q.recheck(); !ok {
-			q.release(g.choice)
-			if s != 0 && len(q.tried) == 0 {
-				q.refund()
-				var after time.Duration
-				if s == http.StatusServiceUnavailable {
-					after = versionRetry
-				}
-				q.refuse(s, reason, after)
-				return nil
+		service := q.service
+		if s, reason := q.recheck(); s != 0 {
+			q.release(g.choice, service)
+			q.refund()
+			var after time.Duration
+			if s == http.StatusServiceUnavailable {
+				after = versionRetry
 			}
+			q.refuse(s, reason, after)
+			return nil
+		}
+		if q.service != service {
+			q.release(g.choice, service)
 			continue
 		}
 		if left, ok := q.isolated(); ok {
-			q.release(g.choice)
+			q.release(g.choice, service)
 			q.fail(ctx, errIsolated, left)
 			return nil
 		}
@@ -377,27 +380,27 @@
 	}
 }
 
-// release returns a slot that was granted but is not used.
-func (q *request) release(c pool.Choice) {
+// release returns a slot at a target of a service that was granted but is not used.
+func (q *request) release(c pool.Choice, service string) {
 	q.front.loop.Post(func(now time.Duration, s *state) {
 		s.pool.End(now, c.ID, q.call.PromptTokens, pool.Neutral)
-		q.front.dispatchQueued(now, s, q.service)
+		q.front.dispatchQueued(now, s, service)
 	})
 }
 
-// recheck resolves the request again if the plan has changed while it waited. It returns
-// false if the slot can't be used, with a status if the request is to be refused.
-func (q *request) recheck() (ok bool, status int, reason string) {
+// recheck resolves the request again if the plan has changed while it waited. It returns the
+// status and reason of a refusal, or status 0. A request that was sent to a target before keeps
+// its terms if the new plan refuses it, as it may have run.
+func (q *request) recheck() (status int, reason string) {
 	p := q.front.plan.Load()
 	if p == q.plan || q.stream != nil {
-		return true, 0, ""
+		return 0, ""
 	}
 	q.plan = p
-	service := q.service
-	if s, r := q.resolve(); s != 0 {
-		return false, s, r
+	if s, r := q.resolve(); len(q.tried) == 0 {
+		return s, r
 	}
-	return service == q.service, 0, ""
+	return 0, ""
 }
 
 // result is the outcome of one dispatch.
--- a/io/front/takeover.go
+++ b/io/front/takeover.go
@@ -259,7 +259,7 @@
 		return grant{}, g.err
 	}
 	if !q.takeRetry(errStalled, []string{e.choice.ID}) {
-		q.release(g.choice)
+		q.release(g.choice, q.service)
 		return grant{}, errNoRetryBudget
 	}
 	return g, nil
