--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -42,6 +42,9 @@
 // ErrUnexpectedData reports unexpected bytes on an idle connection.
 var ErrUnexpectedData = errors.New("unexpected bytes on idle connection")
 
+// ErrClosed reports a new connection that was closed before it was used.
+var ErrClosed = errors.New("new connection closed by the target")
+
 // Bounds of connections.
 const (
 	// connectTimeout is many times the round trip between data centres, and short
@@ -149,13 +152,21 @@
 	}
 }
 
-// Check returns nil if an idle connection to the address is open or one can be opened. The
-// connection stays idle.
-func (d *Dialer) Check(ctx context.Context, address string) error {
+// Check returns nil if an idle connection to the address is open, or one can be opened and is
+// still open after the time wait. The connection stays idle. It returns an error that wraps
+// ErrClosed if the connection is closed at once.
+func (d *Dialer) Check(ctx context.Context, address string, wait time.Duration) error {
 	c, err := d.Get(ctx, address, Lenient)
 	if err != nil {
 		return err
 	}
+	if !c.Reused {
+		time.Sleep(wait)
+		if !c.open() {
+			c.Close()
+			return fmt.Errorf("check %s: %w", address, ErrClosed)
+		}
+	}
 	d.keep(c)
 	return nil
 }
@@ -195,7 +206,13 @@
 // reusable reports whether the connection is within the limit, the target has not closed
 // it and no unexpected bytes have arrived.
 func (c *Conn) reusable(a IdleLimit) bool {
-	if c.reader.Buffered() > 0 || time.Since(c.idleSince) > time.Duration(float64(c.keepAlive)*float64(a)) {
+	return time.Since(c.idleSince) <= time.Duration(float64(c.keepAlive)*float64(a)) && c.open()
+}
+
+// open reports whether the target has not closed the connection and no unexpected bytes have
+// arrived.
+func (c *Conn) open() bool {
+	if c.reader.Buffered() > 0 {
 		return false
 	}
 	s, ok := c.net.(syscall.Conn)
--- a/io/dial/dial_test.go
+++ b/io/dial/dial_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -129,3 +131,37 @@
 		t.Error("Get: got no error for a closed port")
 	}
 }
+
+// A check keeps the connection to a target that is open for the next request, and tells a
+// target that refuses connections from one that closes them.
+func TestCheck(t *testing.T) {
+	const wait = 50 * time.Millisecond
+	a, accepted := startTarget(t, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny")
+	d := dial.New(logr.Discard())
+	if err := d.Check(context.Background(), a, wait); err != nil {
+		t.Errorf("open target: got %v", err)
+	}
+	if c := exchange(t, d, a, dial.Lenient); !c.Reused || accepted() != 1 {
+		t.Errorf("got %d connections, reused %v, want the checked one", accepted(), c.Reused)
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+		}
+	}()
+	if err := d.Check(context.Background(), l.Addr().String(), wait); !errors.Is(err, dial.ErrClosed) {
+		t.Errorf("target that closes connections: got %v, want ErrClosed", err)
+	}
+	_ = l.Close()
+	if err := d.Check(context.Background(), l.Addr().String(), wait); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("target that refuses connections: got %v, want ECONNREFUSED", err)
+	}
+}
--- a/io/front/crash.go
+++ b/io/front/crash.go
@@ -9,6 +9,7 @@
 
 	"kingcupstand/core/poison"
 	"kingcupstand/core/pool"
+	"kingcupstand/io/dial"
 )
 
 const (
@@ -16,10 +17,11 @@
 	// request without crashing.
 	begunEvents = 8
 	// crashChecks is how often a front tries to connect to a target that has broken off a
-	// response, with crashCheckInterval in between, before it takes it for running. The
-	// connections of a process that crashes may end shortly before its listener.
-	crashChecks        = 3
-	crashCheckInterval = 50 * time.Millisecond
+	// response, and crashCheckWait how long it waits after each. The connections of a process
+	// that crashes may end shortly before its listener, and a process that is too busy for more
+	// connections may close one at once.
+	crashChecks    = 3
+	crashCheckWait = 50 * time.Millisecond
 )
 
 // suspectsCrash reports whether the request may have crashed its target: the target broke off
@@ -50,17 +52,23 @@
 	}
 }
 
-// runCrashCheck tries to connect to a target. It has crashed if its host refuses connections: a
-// target that can't be reached, or still listens, has another fault.
+// runCrashCheck tries to connect to a target. It has crashed if its host refuses connections, or
+// if what forwards them closes each at once: a target that can't be reached, or goes on, has
+// another fault.
 func (f *Front) runCrashCheck(k *crashCheck) {
-	var err error
-	for n := 0; n < crashChecks && !errors.Is(err, syscall.ECONNREFUSED); n++ {
-		if n > 0 {
-			time.Sleep(crashCheckInterval)
+	refused, closed := false, 0
+	for n := 0; n < crashChecks && !refused; n++ {
+		err := f.dialer.Check(context.Background(), k.choice.Address, crashCheckWait)
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			refused = true
+		case errors.Is(err, dial.ErrClosed):
+			closed++
+		default:
+			time.Sleep(crashCheckWait)
 		}
-		err = f.dialer.Check(context.Background(), k.choice.Address)
 	}
-	crashed := errors.Is(err, syscall.ECONNREFUSED)
+	crashed := refused || closed == crashChecks
 	f.loop.Post(func(now time.Duration, s *state) {
 		delete(s.crashChecks, k.choice.ID)
 		f.log("crash", "target broke off responses", "target", k.choice.ID, "address", k.choice.Address, "crashed", crashed, "parts", k.parts)
