--- a/io/front/request.go
+++ b/io/front/request.go
@@ -436,6 +436,9 @@
 	if v.mayHaveRun && !q.route.Repeatable() {
 		return false
 	}
+	if q.stream != nil && q.lastEvent() == "" {
+		return false // events without ids would come twice
+	}
 	if !v.sent {
 		return true
 	}
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -126,9 +126,9 @@
 	takeover   takeover
 	// criteria are those for a target that takes the request over.
 	criteria pool.Criteria
-	// overlap bounds the time for which this target runs the request beside the one that it is
-	// to take it over from; nil if there is none.
-	overlap *time.Timer
+	// second is true if the exchange began beside one with a silent target, to take the request
+	// over.
+	second bool
 	// continues is true if the caller has the beginning of a response, so that only a success may
 	// be forwarded.
 	continues bool
@@ -209,7 +209,7 @@
 	if v := e.send(); v.err != nil {
 		return v
 	}
-	if e.overlap == nil {
+	if !e.second {
 		e.startStallTimer()
 	}
 	a, r, err := e.receive()
@@ -217,9 +217,6 @@
 		e.broken = !errors.Is(err, errWrongRequest)
 		return result{sent: true, mayHaveRun: true, err: err}
 	}
-	if e.overlap != nil {
-		e.overlap.Reset(takeoverOverlap)
-	}
 	e.response = a
 	v := e.handle(a, r)
 	e.opened = v.err == nil
--- a/io/front/takeover.go
+++ b/io/front/takeover.go
@@ -12,14 +12,9 @@
 	"kingcupstand/io/actor"
 )
 
-const (
-	// takeoverInterval is how long a silent exchange waits after no other target could take its
-	// request over, before it tries again.
-	takeoverInterval = 200 * time.Millisecond
-	// takeoverOverlap is how long two targets may run one request: no longer than until the
-	// first event of the second one should arrive.
-	takeoverOverlap = 300 * time.Millisecond
-)
+// takeoverInterval is how long a silent exchange waits after no other target could take its
+// request over, before it tries again.
+const takeoverInterval = 200 * time.Millisecond
 
 var errNoRetryBudget = errors.New("retry budget spent")
 
@@ -104,16 +99,25 @@
 	t.busy, t.lastEvent = false, lastEvent
 }
 
-// move reports whether the request is moved, which it is if the silence s has lasted until now.
+// move reports whether the request is moved, which it is if the silence s has lasted until now
+// and the exchange has not ended, or has failed meanwhile.
 func (t *takeover) move(s silence) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.moved && !t.ended && t.received == s.received {
-		t.moved = true
+	if t.received != s.received {
+		return false
 	}
+	t.moved = t.moved || !t.ended
 	return t.moved
 }
 
+// hasEnded reports whether the exchange has ended.
+func (t *takeover) hasEnded() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ended
+}
+
 // settle ends the attempts to move the request because its response is complete or is being
 // forwarded. It returns false if the request has been moved.
 func (t *takeover) settle() bool {
@@ -121,11 +125,11 @@
 	return !t.moved
 }
 
-// end ends the attempts to move the request and waits for them. If the exchange has failed, it
-// is moved to a target that is already being asked.
+// end ends the attempts to move the request and waits for them. If the exchange has failed in a
+// silence, the request is moved to a target that is already being asked.
 func (t *takeover) end(failed bool) {
 	t.mu.Lock()
-	if failed && t.opening && !t.ended {
+	if failed && t.opening && t.cancel != nil && !t.ended {
 		t.moved = true
 	}
 	t.ended = true
@@ -134,6 +138,9 @@
 	}
 	t.mu.Unlock()
 	t.runs.Wait()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stop()
 }
 
 // ask records that a target is being asked to take the request over.
@@ -168,13 +175,12 @@
 	}
 	defer t.runs.Done()
 	q := e.request
-	movable := e.movable()
-	q.front.log("stalled", "target silent", "request-id", q.call.ID, "target", e.choice.ID, "predicted-ms", e.choice.ExpectedFirstByte.Milliseconds(),
-		"silent-since-ms", time.Since(e.started).Milliseconds(), "moved", movable)
-	q.front.loop.Post(func(now time.Duration, s *state) { s.pool.MarkStalled(now, e.choice.ID) })
+	// A stream whose events have no ids can only be begun anew.
+	movable := e.movable() && (s.received == 0 || s.lastEvent != "")
+	e.reportSilence(movable)
 	for ; movable && ctx.Err() == nil; movable = e.movable() {
 		err := e.tryTakeover(ctx, s)
-		if err == nil {
+		if err == nil || t.hasEnded() {
 			return
 		}
 		q.front.log("kept", "request stays at silent target", "request-id", q.call.ID, "target", e.choice.ID, "error", err.Error())
@@ -185,15 +191,29 @@
 	}
 }
 
+// reportSilence reports a silent target to the pool. Movable is true if the request may be sent
+// to another target.
+func (e *exchange) reportSilence(movable bool) {
+	q := e.request
+	q.front.log("stalled", "target silent", "request-id", q.call.ID, "target", e.choice.ID, "predicted-ms", e.choice.ExpectedFirstByte.Milliseconds(),
+		"silent-since-ms", time.Since(e.started).Milliseconds(), "moved", movable)
+	q.front.loop.Post(func(now time.Duration, s *state) { s.pool.MarkStalled(now, e.choice.ID) })
+}
+
 // movable reports whether the request may be sent to another target.
 func (e *exchange) movable() bool {
-	fs, sent := e.takeover.failures(), 0
-	for _, f := range fs {
+	return e.request.route.Repeatable() && e.attemptsUnused() > 0 && len(e.takeover.failures()) < e.dispatchesLeft
+}
+
+// attemptsUnused returns how many more targets may get the request.
+func (e *exchange) attemptsUnused() int {
+	n := e.attemptsLeft
+	for _, f := range e.takeover.failures() {
 		if f.result.sent {
-			sent++
+			n--
 		}
 	}
-	return e.request.route.Repeatable() && sent < e.attemptsLeft && len(fs) < e.dispatchesLeft
+	return n
 }
 
 // tryTakeover sends the request to another target, and moves it there once the target has begun
@@ -208,11 +228,20 @@
 	n.continues = e.continues || s.received > 0
 	n.criteria = e.criteria
 	n.criteria.Exclude = append(slices.Clone(e.criteria.Exclude), n.choice.ID)
-	n.overlap = time.AfterFunc(time.Hour, func() { e.leave(s) })
+	n.second = true
+	// If the other target falls silent, too, a third one is asked instead. Without a further
+	// attempt, either of the two may still answer.
+	further := e.attemptsUnused() > 1
+	k := time.AfterFunc(n.firstByteStall(), func() {
+		n.reportSilence(further)
+		if further {
+			n.cancel(errStalled)
+		}
+	})
 	stop := context.AfterFunc(ctx, func() { n.cancel(errSilenceEnded) })
 	t.ask()
 	v := n.open()
-	n.overlap.Stop()
+	k.Stop()
 	if n.opened && stop() && e.leave(s) {
 		t.answer(n)
 		q.front.log("moved", "request moved from silent target", "request-id", q.call.ID, "target", e.choice.ID, "to", n.choice.ID, "waited-ms", g.waited.Milliseconds())
@@ -243,6 +272,7 @@
 		return grant{}, errNoRetryBudget
 	}
 	c := e.criteria
+	c.Exclude = slices.Clone(c.Exclude)
 	c.TimeLeft = time.Until(q.deadline)
 	limit := c.TimeLeft
 	if q.route.Kind == plan.Stream {
