--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -50,13 +50,14 @@
 	// connectTimeout is many times the round trip between data centres, and short
 	// enough to try another target within a caller's goal.
 	connectTimeout = 200 * time.Millisecond
-	// unackedTimeout is how long sent bytes may stay unacknowledged before the
-	// connection is closed.
-	unackedTimeout = 1500 * time.Millisecond
+	// unackedTimeout is how long sent bytes may stay unacknowledged, or a receiver may have no
+	// room for more, before the connection is closed. A sound target may be silent for two
+	// seconds.
+	unackedTimeout = 3500 * time.Millisecond
 	// probeInterval is the time between TCP keep-alive probes.
 	probeInterval = time.Second
 	// probes is how many unanswered probes close a connection.
-	probes = 2
+	probes = 3
 	// defaultKeepAlive is the keep-alive timeout of targets that announce none.
 	defaultKeepAlive = 4 * time.Second
 	// lenientFraction is the fraction of the target's keep-alive timeout for which an
