--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -52,6 +52,8 @@
 	// Version is the version of the replica's software, which the store lists. Streams of
 	// different versions differ. If empty, it is listed as DefaultVersion.
 	Version string
+	// Born tells successive processes with the same ID apart; 0 if the store doesn't list it.
+	Born int64
 
 	listener net.Listener
 	faults   *faults
@@ -64,6 +66,7 @@
 	conns    map[net.Conn]bool
 	// limit is the header line with the limit that responses name, or "".
 	limit   string
+	notices notices
 	silence silence
 	crash   crash
 }
@@ -227,13 +230,13 @@
 }
 
 // receive takes the fault of a request and records the request as run, unless it is
-// rejected. It also returns the header line of the limit.
-func (r *Replica) receive(q *http.Request) (f Fault, limit string) {
+// rejected. It also returns the header lines that the replica says of itself.
+func (r *Replica) receive(q *http.Request) (f Fault, says string) {
 	f = r.faults.take()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.arrivals = append(r.arrivals, Arrival{q.Header.Get("Attempt-Id"), time.Now()})
-	if f != Full && q.Header.Get("Expect-Replica") == r.ID {
+	if (!f.turnsAway() || f == TurnsAwayRan) && q.Header.Get("Expect-Replica") == r.ID {
 		id := q.Header.Get("Attempt-Id")
 		r.runs[id]++
 		if f != NoFault {
@@ -241,20 +244,21 @@
 		}
 		r.requests = append(r.requests, q)
 	}
-	return f, r.limit
+	return f, r.limit + r.notices.leaving
 }
 
 // serve responds to one request. It reports false if the connection must be closed.
 func (r *Replica) serve(c *pausedConn, q *http.Request) bool {
-	f, limit := r.receive(q)
+	f, says := r.receive(q)
 	id := q.Header.Get("Attempt-Id")
 	if q.Header.Get("Expect-Replica") != r.ID {
 		return write(c, "HTTP/1.1 421 Misdirected Request\r\nReplica-Id: %s\r\nContent-Length: 0\r\n\r\n", r.ID)
 	}
-	head := fmt.Sprintf("Attempt-Id: %s\r\nReplica-Stamp: %s.%s\r\n%s", id, r.ID, id, limit)
+	head := fmt.Sprintf("Attempt-Id: %s\r\nReplica-Stamp: %s.%s\r\n%s", id, r.ID, id, says)
+	if f.turnsAway() {
+		return r.turnAway(c, f, says, head)
+	}
 	switch f {
-	case Full:
-		return write(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", limit)
 	case Failing:
 		return write(c, "HTTP/1.1 500 Internal Server Error\r\n%sContent-Length: 6\r\n\r\nfailed", head)
 	case Declining:
--- a/internal/stand/store.go
+++ b/internal/stand/store.go
@@ -63,9 +63,13 @@
 	if version == "" {
 		version = DefaultVersion
 	}
+	born := ""
+	if r.Born != 0 {
+		born = fmt.Sprintf(`,"born":%d`, r.Born)
+	}
 	s.Put("servers/"+r.ID, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"z1","version":%q,"slots":%d,"state":%q,"cold_remaining_ms":0,"sequence":1}`,
-		service, r.Address(), version, replicaSlots, state))
+		`{"service":%q,"address":%q,"zone":"z1","version":%q,"slots":%d,"state":%q,"cold_remaining_ms":0,"sequence":1%s}`,
+		service, r.Address(), version, replicaSlots, state, born))
 }
 
 // Delete removes a key.
