--- a/io/front/send.go
+++ b/io/front/send.go
@@ -319,13 +319,18 @@
 
 // handle reads the beginning of a response by its status and headers. A successful response
 // needs the target's receipt and the request's id; without them it is not accepted as the
-// target's response.
+// target's response. So does one that callers would take for a refusal which has run nothing.
 func (e *exchange) handle(a *http.Response, r Reply) result {
 	if r.NotRun {
 		return e.handleNotRun(a)
 	}
 	success := a.StatusCode >= http.StatusOK && a.StatusCode < http.StatusMultipleChoices
-	if success && (!r.HasReceipt || r.ID == "") {
+	proved := r.HasReceipt && r.ID != ""
+	if refusal := a.StatusCode == http.StatusServiceUnavailable || a.StatusCode == http.StatusTooManyRequests; refusal && !proved {
+		e.outcome = pool.Failed
+		return result{sent: true, mayHaveRun: true, err: errNoReceipt}
+	}
+	if success && !proved {
 		return result{sent: true, mayHaveRun: true, err: errNoReceipt}
 	}
 	if success && e.request.route.Kind == plan.Stream {
@@ -334,17 +339,19 @@
 	return result{sent: true, mayHaveRun: true, err: e.readPlain(success)}
 }
 
-// handleNotRun handles a response which guarantees that the request has not run. A
-// misdirected request (421) reached another process than the target, so the target
+// handleNotRun handles a response which guarantees that the request has not run, unless it is
+// cut off. A misdirected request (421) reached another process than the target, so the target
 // counts as unreachable.
 func (e *exchange) handleNotRun(a *http.Response) result {
+	if _, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxBuffered)); err != nil {
+		e.broken = true
+		return result{sent: true, mayHaveRun: true, err: fmt.Errorf("read response body: %w", err)}
+	}
+	e.keep(a)
 	e.outcome = pool.Rejected
 	if a.StatusCode == http.StatusMisdirectedRequest {
 		e.outcome = pool.Unreachable
 	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxBuffered)); err == nil {
-		e.keep(a)
-	}
 	return result{sent: true, err: fmt.Errorf("status %d: %w", a.StatusCode, errNotRun)}
 }
 
