--- a/core/pool/limit.go
+++ b/core/pool/limit.go
@@ -97,32 +97,3 @@
 		}
 	}
 }
-
-// maxUnlisted bounds the number of limits of targets that are not listed.
-const maxUnlisted = 256
-
-// unlistedLimit is the limit of a target that is not listed. Its entry may have expired
-// although its process runs, and the limit must hold when it is listed again.
-type unlistedLimit struct {
-	born  int64
-	limit limit.Limit
-}
-
-// keepLimit keeps the limit of a target that is no longer listed.
-func (p *Pool) keepLimit(t *target) {
-	if !t.limit.Rate().Named {
-		return
-	}
-	if len(p.unlisted) >= maxUnlisted {
-		clear(p.unlisted)
-	}
-	p.unlisted[t.ID] = unlistedLimit{t.Born, t.limit}
-}
-
-// restoreLimit gives a target that is listed again the limit that its process has named.
-func (p *Pool) restoreLimit(t *target) {
-	if u, ok := p.unlisted[t.ID]; ok && u.born == t.Born {
-		t.limit = u.limit
-	}
-	delete(p.unlisted, t.ID)
-}
--- /dev/null
+++ b/core/pool/notices.go
@@ -0,0 +1,63 @@
+package pool
+
+import (
+	"math"
+	"time"
+
+	"kingcupstand/core/limit"
+)
+
+// notices is what a process has said of itself in its responses to this front, apart from its
+// limit. It ends with the process.
+type notices struct {
+	// leaving is true if the process has said that it leaves; see ObserveLeaving.
+	leaving bool
+}
+
+// is reports whether t is the process with the given Born and address.
+func (t *Target) is(born int64, address string) bool { return t.Born == born && t.Address == address }
+
+// maxUnlisted bounds the number of unlisted targets that are kept.
+const maxUnlisted = 256
+
+// unlisted is what a target that is not listed has said. Its entry may have expired although its
+// process runs, and what it has said must hold when it is listed again.
+type unlisted struct {
+	born    int64
+	address string
+	limit   limit.Limit
+	notices notices
+}
+
+// is reports whether u is the process with the given Born and address.
+func (u *unlisted) is(born int64, address string) bool { return u.born == born && u.address == address }
+
+// keep keeps what a target has said that is no longer listed.
+func (p *Pool) keep(t *target) {
+	if t.limit.Rate().Named || t.notices != (notices{}) {
+		p.unlisted.Add(t.ID, unlisted{t.Born, t.Address, t.limit, t.notices})
+	}
+}
+
+// restore gives a target that is listed again what its process has said.
+func (p *Pool) restore(t *target) {
+	if u, ok := p.unlisted.Get(t.ID); ok && u.is(t.Born, t.Address) {
+		t.limit, t.notices = u.limit, u.notices
+	}
+	p.unlisted.Remove(t.ID)
+}
+
+// Forever is the time until which a target that leaves is withheld.
+const Forever time.Duration = math.MaxInt64
+
+// Withheld returns the targets that must get no requests, with the time until which that holds
+// unless they say something else.
+func (p *Pool) Withheld(now time.Duration) map[string]time.Duration {
+	m := map[string]time.Duration{}
+	for id, t := range p.targets {
+		if t.Leaving {
+			m[id] = Forever
+		}
+	}
+	return m
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -48,6 +48,11 @@
 // together: each front sends only its part, see package limit. The rule holds for every
 // choice, also for probes and with Criteria.Oversubscribe.
 //
+// # Leaving
+//
+// A target that leaves gets no more requests, whether the list says so or the target itself in
+// a response.
+//
 // # Suspension
 //
 // A target that can't be reached, sends nothing or breaks off a response is suspended,
@@ -62,6 +67,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 // Reasons why no target can be chosen.
@@ -125,12 +132,14 @@
 	byService  map[string][]*target
 	peers      map[string]map[uint32]Use
 	estimators map[string]*estimator
-	// unlisted holds the limits of targets that are not listed now, by ID.
-	unlisted map[string]unlistedLimit
+	// unlisted holds what targets have said that are not listed now, by ID.
+	unlisted *simplelru.LRU[string, unlisted]
 }
 
 // New returns a Pool without targets for a front in the given data centre.
 func New(dataCentre string, r *rand.Rand) *Pool {
+	// It fails only if the size is not positive.
+	u, _ := simplelru.NewLRU[string, unlisted](maxUnlisted, nil)
 	return &Pool{
 		dataCentre: dataCentre,
 		random:     r,
@@ -139,7 +148,7 @@
 		byService:  map[string][]*target{},
 		peers:      map[string]map[uint32]Use{},
 		estimators: map[string]*estimator{},
-		unlisted:   map[string]unlistedLimit{},
+		unlisted:   u,
 	}
 }
 
@@ -203,21 +212,22 @@
 	p.byService = map[string][]*target{}
 	for _, d := range ts {
 		t, ok := old[d.ID]
-		if !ok || t.Born != d.Born || t.Address != d.Address {
+		if !ok || !t.is(d.Born, d.Address) {
 			t = newTarget(p.estimator(d.Service))
 			t.credits = 1
 		}
 		t.Target = d
 		if !ok {
-			p.restoreLimit(t)
+			p.restore(t)
 		}
+		t.Leaving = t.Leaving || t.notices.leaving
 		p.targets[d.ID] = t
 		p.byHash[Hash(d.ID)] = t
 		p.byService[d.Service] = append(p.byService[d.Service], t)
 	}
 	for id, t := range old {
 		if p.targets[id] == nil {
-			p.keepLimit(t)
+			p.keep(t)
 		}
 	}
 	for peer := range p.peers {
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -108,6 +108,8 @@
 	// that this front has sent.
 	limit limit.Limit
 	sent  int
+	// notices is what the process has said of itself in its responses.
+	notices notices
 }
 
 func newTarget(e *estimator) *target {
--- a/io/front/codec.go
+++ b/io/front/codec.go
@@ -65,6 +65,8 @@
 	Limit    float64
 	// LimitErr is not nil if the target names a limit that is malformed.
 	LimitErr error
+	// Leaving is true if the target says that it leaves and wants no more requests.
+	Leaving bool
 }
 
 // Codec translates between the platform's HTTP headers and this package's types.
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -112,6 +112,9 @@
 	// on the loop's clock. suspects is true while any part is suspected.
 	isolatedParts atomic.Pointer[map[poison.Part]time.Duration]
 	suspects      atomic.Bool
+	// withheldTargets are the targets that must get no requests, and until when, on the loop's
+	// clock.
+	withheldTargets atomic.Pointer[map[string]time.Duration]
 	// stopStarted is when the shutdown started; nil before.
 	stopStarted atomic.Pointer[time.Time]
 	// started is when Run was called, and joined is closed once a peer's heartbeat has arrived.
@@ -144,6 +147,7 @@
 	f.meter = newMeter(t)
 	f.plan.Store(plan.Empty())
 	f.isolatedParts.Store(&map[poison.Part]time.Duration{})
+	f.withheldTargets.Store(&map[string]time.Duration{})
 	r := rand.New(rand.NewPCG(binary.NativeEndian.Uint64(b[:8]), binary.NativeEndian.Uint64(b[8:])))
 	f.loop = actor.New(newState(s, r))
 	return f, nil
--- a/io/front/limit.go
+++ b/io/front/limit.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"net/http"
 	"time"
 
 	"kingcupstand/core/limit"
@@ -16,9 +15,8 @@
 		f.log("limit", "limit of a target ignored", "target", id, "error", r.LimitErr.Error())
 		return
 	}
-	// A misdirected request has reached another process. Only a response that is certainly
-	// the target's can end its limit.
-	if status == http.StatusMisdirectedRequest || !r.HasLimit && !r.HasReceipt && !r.NotRun {
+	// Only a response that is certainly the target's can end its limit.
+	if !r.fromTarget(status) {
 		return
 	}
 	f.loop.Post(func(now time.Duration, s *state) {
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -35,6 +35,7 @@
 	revision    tally.Gauge
 	targets     tally.Gauge
 	limited     tally.Gauge
+	leaving     tally.Gauge
 	isolated    tally.Gauge
 	peers       tally.Gauge
 	opened      tally.Gauge
@@ -57,6 +58,7 @@
 		revision:    t.Scope.Gauge("plan_revision"),
 		targets:     t.Scope.Gauge("targets"),
 		limited:     t.Scope.Gauge("targets_limited"),
+		leaving:     t.Scope.Gauge("targets_leaving"),
 		isolated:    t.Scope.Gauge("prompt_parts_isolated"),
 		peers:       t.Scope.Gauge("peers_heard"),
 		opened:      t.Scope.Gauge("connections_opened"),
@@ -127,7 +129,8 @@
 // causes maps the errors of dispatches to metric labels.
 var causes = map[error]string{
 	errNotRun: "not-run", errStalled: "silent", errServerError: "target-failed", errWrongRequest: "foreign-answer",
-	errNoReceipt: "no-receipt", errPartialEvent: "partial-event", errNoEvents: "no-events", errDeclined: "declined", errSilenceEnded: "silence-ended", errTimeout: "timeout", errStopped: "stopping",
+	errNoReceipt: "no-receipt", errPartialEvent: "partial-event", errNoEvents: "no-events", errDeclined: "declined", errSilenceEnded: "silence-ended",
+	errWithheld: "withheld", errTimeout: "timeout", errStopped: "stopping",
 }
 
 // allow reports whether a line of the kind may be written now, and how many were
--- /dev/null
+++ b/io/front/notice.go
@@ -0,0 +1,71 @@
+package front
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"kingcupstand/core/pool"
+)
+
+var errWithheld = errors.New("target wants no requests since it was chosen")
+
+// fromTarget reports whether a response is certainly the target's. A misdirected request (421)
+// has reached another process.
+func (r Reply) fromTarget(status int) bool {
+	return status != http.StatusMisdirectedRequest && (r.HasLimit || r.Leaving || r.HasReceipt || r.NotRun)
+}
+
+// observeNotices records what the target says of itself in a response, before any of it is
+// forwarded.
+func (e *exchange) observeNotices(status int, r Reply) {
+	if !r.Leaving || !r.fromTarget(status) {
+		return
+	}
+	f, c, id := e.request.front, e.choice, e.request.call.ID
+	f.loop.Post(func(now time.Duration, s *state) {
+		if s.pool.ObserveLeaving(c) {
+			f.log("leaving", "target leaves", "target", c.ID, "address", c.Address, "born", c.Born, "request-id", id, "status", status)
+			f.withholdTargets(now, s)
+			f.assignSlots(now, s)
+		}
+	})
+}
+
+// withholdTargets publishes which targets must get no requests.
+func (f *Front) withholdTargets(now time.Duration, s *state) {
+	m := s.pool.Withheld(now)
+	f.withheldTargets.Store(&m)
+	leaving := 0
+	for _, until := range m {
+		if until == pool.Forever {
+			leaving++
+		}
+	}
+	f.meter.leaving.Update(float64(leaving))
+}
+
+// withheld reports whether a target must get no requests. It may have been chosen before that
+// was known, and the request has waited for a connection since.
+func (f *Front) withheld(id string) bool {
+	until, ok := (*f.withheldTargets.Load())[id]
+	return ok && f.loop.Now() < until
+}
+
+// handleNotRun handles a response which guarantees that the request has not run, unless it is
+// cut off. A misdirected request (421) reached another process than the target, so the target
+// counts as unreachable.
+func (e *exchange) handleNotRun(a *http.Response) result {
+	if _, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxBuffered)); err != nil {
+		e.broken = true
+		return result{sent: true, mayHaveRun: true, err: fmt.Errorf("read response body: %w", err)}
+	}
+	e.keep(a)
+	e.outcome = pool.Rejected
+	if a.StatusCode == http.StatusMisdirectedRequest {
+		e.outcome = pool.Unreachable
+	}
+	return result{sent: true, err: fmt.Errorf("status %d: %w", a.StatusCode, errNotRun)}
+}
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -236,6 +236,10 @@
 		return result{err: err}
 	}
 	e.detach = context.AfterFunc(e.ctx, e.conn.Close)
+	if q.front.withheld(e.choice.ID) {
+		e.outcome = pool.Neutral
+		return result{err: errWithheld}
+	}
 	h := endToEnd(q.http.Header)
 	q.front.codec.EncodeDispatch(h, Dispatch{
 		Target:      e.choice.ID,
@@ -268,6 +272,7 @@
 		r := q.front.codec.DecodeReply(a.StatusCode, a.Header)
 		if r.ID == "" || r.ID == q.call.ID {
 			e.observeLimit(a.StatusCode, r)
+			e.observeNotices(a.StatusCode, r)
 			return a, r, nil
 		}
 		e.unexpected = true
@@ -339,22 +344,6 @@
 	return result{sent: true, mayHaveRun: true, err: e.readPlain(success)}
 }
 
-// handleNotRun handles a response which guarantees that the request has not run, unless it is
-// cut off. A misdirected request (421) reached another process than the target, so the target
-// counts as unreachable.
-func (e *exchange) handleNotRun(a *http.Response) result {
-	if _, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxBuffered)); err != nil {
-		e.broken = true
-		return result{sent: true, mayHaveRun: true, err: fmt.Errorf("read response body: %w", err)}
-	}
-	e.keep(a)
-	e.outcome = pool.Rejected
-	if a.StatusCode == http.StatusMisdirectedRequest {
-		e.outcome = pool.Unreachable
-	}
-	return result{sent: true, err: fmt.Errorf("status %d: %w", a.StatusCode, errNotRun)}
-}
-
 // keep returns the connection to the dialer.
 func (e *exchange) keep(a *http.Response) {
 	if !e.unexpected && e.detach() {
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -153,6 +153,7 @@
 		versions[r.Service] = append(versions[r.Service], r.Version)
 	}
 	s.pool.SetTargets(ts)
+	f.withholdTargets(now, s)
 	s.origins.SetVersions(now, versions)
 	f.assignSlots(now, s)
 	f.meter.targets.Update(float64(len(ts)))
