--- a/core/pool/notices.go
+++ b/core/pool/notices.go
@@ -12,6 +12,7 @@
 type notices struct {
 	// leaving is true if the process has said that it leaves; see ObserveLeaving.
 	leaving bool
+	pause
 }
 
 // is reports whether t is the process with the given Born and address.
@@ -32,10 +33,30 @@
 // is reports whether u is the process with the given Born and address.
 func (u *unlisted) is(born int64, address string) bool { return u.born == born && u.address == address }
 
+// noticesOf returns the notices of the process that was chosen, or nil if the ID has passed to
+// another process since. A process that is not listed may still respond.
+func (p *Pool) noticesOf(c Choice) *notices {
+	if t := p.targets[c.ID]; t != nil {
+		if !t.is(c.Born, c.Address) {
+			return nil
+		}
+		return &t.notices
+	}
+	u, ok := p.unlisted.Get(c.ID)
+	if ok && !u.is(c.Born, c.Address) && c.Born < u.born {
+		return nil
+	}
+	if !ok || !u.is(c.Born, c.Address) {
+		u = &unlisted{born: c.Born, address: c.Address}
+		p.unlisted.Add(c.ID, u)
+	}
+	return &u.notices
+}
+
 // keep keeps what a target has said that is no longer listed.
 func (p *Pool) keep(t *target) {
 	if t.limit.Rate().Named || t.notices != (notices{}) {
-		p.unlisted.Add(t.ID, unlisted{t.Born, t.Address, t.limit, t.notices})
+		p.unlisted.Add(t.ID, &unlisted{t.Born, t.Address, t.limit, t.notices})
 	}
 }
 
@@ -55,8 +76,11 @@
 func (p *Pool) Withheld(now time.Duration) map[string]time.Duration {
 	m := map[string]time.Duration{}
 	for id, t := range p.targets {
-		if t.Leaving {
+		switch {
+		case t.Leaving:
 			m[id] = Forever
+		case t.notices.paused(now):
+			m[id] = t.notices.until
 		}
 	}
 	return m
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -53,6 +53,11 @@
 // A target that leaves gets no more requests, whether the list says so or the target itself in
 // a response.
 //
+// # Pauses
+//
+// A target that has asked this front for a pause gets nothing until its end, not even if all
+// targets of its service are in a pause.
+//
 // # Suspension
 //
 // A target that can't be reached, sends nothing or breaks off a response is suspended,
@@ -133,13 +138,13 @@
 	peers      map[string]map[uint32]Use
 	estimators map[string]*estimator
 	// unlisted holds what targets have said that are not listed now, by ID.
-	unlisted *simplelru.LRU[string, unlisted]
+	unlisted *simplelru.LRU[string, *unlisted]
 }
 
 // New returns a Pool without targets for a front in the given data centre.
 func New(dataCentre string, r *rand.Rand) *Pool {
 	// It fails only if the size is not positive.
-	u, _ := simplelru.NewLRU[string, unlisted](maxUnlisted, nil)
+	u, _ := simplelru.NewLRU[string, *unlisted](maxUnlisted, nil)
 	return &Pool{
 		dataCentre: dataCentre,
 		random:     r,
@@ -171,9 +176,9 @@
 
 // RefillCredits refills the credits for sending to slots of other fronts. It is called
 // once per round of heartbeats, with the number of live fronts, this one included.
-func (p *Pool) RefillCredits(fronts int) {
+func (p *Pool) RefillCredits(now time.Duration, fronts int) {
 	for _, t := range p.targets {
-		t.refillCredits(fronts)
+		t.refillCredits(now, fronts)
 	}
 }
 
@@ -359,7 +364,7 @@
 func (p *Pool) suspended(now time.Duration, c Criteria) *target {
 	var best *target
 	for _, t := range p.byService[c.Service] {
-		if !c.admits(t) || t.ownRunning > 0 || !t.limit.Allows(now) {
+		if !c.admits(t) || t.notices.paused(now) || t.ownRunning > 0 || !t.limit.Allows(now) {
 			continue
 		}
 		if best == nil || t.suspendedUntil < best.suspendedUntil {
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -33,7 +33,7 @@
 	for f := range fronts {
 		p := newPool(uint64(f), engine("back"))
 		p.SetOwnSlots(map[string]int{"back": 0})
-		p.RefillCredits(fronts)
+		p.RefillCredits(0, fronts)
 		for range 50 {
 			c, err := p.Choose(0, prompt(600))
 			if err != nil {
@@ -53,7 +53,7 @@
 // round of heartbeats.
 func TestOwnSlotsAreFilledAtOnce(t *testing.T) {
 	p := newPool(1, engine("a"))
-	p.RefillCredits(20)
+	p.RefillCredits(0, 20)
 	p.SetOwnSlots(map[string]int{"a": 5})
 	n := 0
 	for ; ; n++ {
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -102,7 +102,7 @@
 	// since the last suspension.
 	suspendedUntil time.Duration
 	backoff        time.Duration
-	// probing is true while the probe request after a suspension is in flight.
+	// probing is true while the probe request after a suspension or a pause is in flight.
 	probing bool
 	// limit is the rate of requests that the target takes, and sent the number of requests
 	// that this front has sent.
@@ -166,17 +166,20 @@
 // refillCredits adds this front's share of the free slots to its credits. What all fronts
 // together add matches the free slots, so that they don't overload a target that has just
 // started or recovered. It also sets enforced for the given number of fronts.
-func (t *target) refillCredits(fronts int) {
+func (t *target) refillCredits(now time.Duration, fronts int) {
 	t.enforced = fronts > 1
+	if t.notices.paused(now) {
+		return
+	}
 	n := float64(t.freeSlots())
 	t.credits = min(n, t.credits+n/float64(max(1, fronts)))
 }
 
-// usable reports whether the target may get a request now. After a suspension it gets
-// one probe at a time. While a peer has suspended it, it gets one request at a time from
+// usable reports whether the target may get a request now. After a suspension or a pause it
+// gets one probe at a time. While a peer has suspended it, it gets one request at a time from
 // this front.
 func (t *target) usable(now time.Duration) bool {
-	if now < t.suspendedUntil || (t.backoff > minBackoff && t.probing) {
+	if now < t.suspendedUntil || t.notices.paused(now) || t.probing && (t.backoff > minBackoff || t.notices.returning) {
 		return false
 	}
 	if t.backoff > minBackoff {
@@ -250,7 +253,7 @@
 	t.sent++
 	t.ownRunning++
 	t.ownTokens += prompt
-	if t.backoff > minBackoff && now >= t.suspendedUntil {
+	if t.backoff > minBackoff && now >= t.suspendedUntil || t.notices.probing(now) {
 		t.probing = true
 	}
 }
@@ -274,8 +277,9 @@
 	t.eventGap += time.Duration(sampleWeight * float64(d-t.eventGap))
 }
 
-// resume ends a suspension and resets the backoff.
-func (t *target) resume(time.Duration) {
+// resume ends a suspension and resets the backoff, as the target has taken a request.
+func (t *target) resume(now time.Duration) {
+	t.notices.taken(now)
 	t.probing, t.backoff, t.suspendedUntil = false, minBackoff, 0
 }
 
@@ -301,6 +305,7 @@
 		t.probing = false
 	case Failed:
 		t.failureRate.add(now, 1)
+		t.notices.taken(now)
 		t.probing = false
 	case Rejected:
 		t.fullUntil = now + fullBackoff
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -191,11 +191,12 @@
 }
 
 // Shed removes a queued request and reports true if its expected queue wait exceeds
-// its maximum wait. A request that is first in its class is never shed. The request must
-// still be queued.
+// its maximum wait. A request that is first in its class is shed only if all targets that
+// suit it are in a longer pause. The request must still be queued.
 func (s *Scheduler[T]) Shed(now time.Duration, w *Waiter[T]) (Refusal, bool) {
 	f := s.refusal(now, w)
-	if f.Ahead == 0 || f.ExpectedWait <= w.request.MaxWait {
+	longest := w.request.MaxWait
+	if f.ExpectedWait <= longest || f.Ahead == 0 && s.pool.PauseLeft(now, w.request.Criteria) <= longest {
 		return Refusal{}, false
 	}
 	s.queue(w.request.Criteria.Service).waiters.Remove(w.handle)
@@ -218,6 +219,9 @@
 	slots := float64(s.pool.Load(now, w.request.Criteria.Service).Slots) / float64(s.fronts)
 	f := Refusal{Ahead: q.waiters.Ahead(w.handle), ExpectedWait: q.waiters.ExpectedWait(now, w.handle, slots), Waited: now - w.enqueued}
 	f.RetryAfter = retryDelay(f.ExpectedWait, w.request.TimeLeft-f.Waited, s.random.Float64())
+	if p := s.pool.PauseLeft(now, w.request.Criteria); p > 0 {
+		f.ExpectedWait, f.RetryAfter = max(f.ExpectedWait, p), max(f.RetryAfter, p)
+	}
 	return f
 }
 
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -51,6 +51,26 @@
 	}
 }
 
+// While all targets pause for longer than a request may wait, it is refused at once, with the
+// end of the pause, also if it is the first of its class. For a shorter pause it waits.
+func TestPauseOfAllTargetsIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		pause   time.Duration
+		refused bool
+	}{{10 * time.Minute, true}, {2 * time.Second, true}, {200 * time.Millisecond, false}} {
+		s, p := newScheduler(4)
+		p.ObservePause(0, pool.Choice{ID: "t"}, c.pause)
+		w := s.Enqueue(0, request(0, 400*time.Millisecond, 9*time.Second), 0)
+		f, refused := s.Shed(0, w)
+		if refused != c.refused || refused && f.RetryAfter < c.pause {
+			t.Errorf("pause of %v: got refused %v, %+v", c.pause, refused, f)
+		}
+		if refused && c.pause > 3*time.Second && f.RetryAfter != c.pause {
+			t.Errorf("got RetryAfter %v, want the end of the pause in %v", f.RetryAfter, c.pause)
+		}
+	}
+}
+
 // A free slot is held back for a request of a higher tier that waits at a peer.
 func TestHigherTierAtPeerGoesFirst(t *testing.T) {
 	s, p := newScheduler(3)
--- a/internal/bench/front.go
+++ b/internal/bench/front.go
@@ -333,7 +333,7 @@
 	if w.policy == Unassigned {
 		n = 1
 	}
-	g.pool.RefillCredits(n)
+	g.pool.RefillCredits(w.now, n)
 	g.dispatch()
 	w.after(heartbeatInterval+time.Duration(len(w.fronts))*heartbeatPerFront, g.heartbeat)
 }
--- a/io/front/codec.go
+++ b/io/front/codec.go
@@ -67,6 +67,12 @@
 	LimitErr error
 	// Leaving is true if the target says that it leaves and wants no more requests.
 	Leaving bool
+	// HasRetryAfter is true if the target turns the request away and says for how long it wants
+	// no more from this front, which is RetryAfter.
+	HasRetryAfter bool
+	RetryAfter    time.Duration
+	// RetryAfterErr is not nil if that time is malformed.
+	RetryAfterErr error
 }
 
 // Codec translates between the platform's HTTP headers and this package's types.
--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -81,7 +81,7 @@
 	p := minHeartbeatInterval + time.Duration(all)*intervalPerPeer
 	if now-s.creditsRefilled >= p {
 		s.creditsRefilled = now
-		s.pool.RefillCredits(live)
+		s.pool.RefillCredits(now, live)
 	}
 	if now-s.slotsAssigned >= assignInterval {
 		f.assignSlots(now, s)
@@ -99,6 +99,7 @@
 // reportLoad logs and exports this front's view of the load of each service.
 func (f *Front) reportLoad(now time.Duration, s *state, live, all int) {
 	s.loadReported = now
+	f.withholdTargets(now, s) // pauses end without an event
 	opened, reused := f.dialer.Counts()
 	f.meter.opened.Update(float64(opened))
 	f.meter.reused.Update(float64(reused))
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -36,6 +36,7 @@
 	targets     tally.Gauge
 	limited     tally.Gauge
 	leaving     tally.Gauge
+	paused      tally.Gauge
 	isolated    tally.Gauge
 	peers       tally.Gauge
 	opened      tally.Gauge
@@ -59,6 +60,7 @@
 		targets:     t.Scope.Gauge("targets"),
 		limited:     t.Scope.Gauge("targets_limited"),
 		leaving:     t.Scope.Gauge("targets_leaving"),
+		paused:      t.Scope.Gauge("targets_paused"),
 		isolated:    t.Scope.Gauge("prompt_parts_isolated"),
 		peers:       t.Scope.Gauge("peers_heard"),
 		opened:      t.Scope.Gauge("connections_opened"),
--- a/io/front/notice.go
+++ b/io/front/notice.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -8,6 +9,7 @@
 	"time"
 
 	"kingcupstand/core/pool"
+	"kingcupstand/io/actor"
 )
 
 var errWithheld = errors.New("target wants no requests since it was chosen")
@@ -34,6 +36,36 @@
 	})
 }
 
+// observePause records for how long the target wants nothing from this front, as a response says
+// that has turned the request away.
+func (e *exchange) observePause(status int, r Reply) {
+	f, c, id := e.request.front, e.choice, e.request.call.ID
+	if r.RetryAfterErr != nil {
+		f.log("pause", "pause of a target ignored", "target", c.ID, "request-id", id, "error", r.RetryAfterErr.Error())
+		return
+	}
+	if !r.HasRetryAfter {
+		return
+	}
+	f.loop.Post(func(now time.Duration, s *state) {
+		if v, ok := s.pool.ObservePause(now, c, r.RetryAfter); ok {
+			f.log("pause", "target pauses", "target", c.ID, "address", c.Address, "born", c.Born, "request-id", id, "status", status,
+				"pause-ms", (v.Until - now).Milliseconds(), "was-ms", max(0, v.Was-now).Milliseconds(), "until", time.Now().Add(v.Until-now).UTC())
+			f.withholdTargets(now, s)
+		}
+	})
+}
+
+// pauseLeft returns the time until the first target that suits the request ends its pause; 0 if
+// one is in no pause, or if the request's context has ended.
+func (q *request) pauseLeft(ctx context.Context) time.Duration {
+	if ctx.Err() != nil {
+		return 0
+	}
+	c := q.criteria()
+	return actor.Ask(q.front.loop, func(now time.Duration, s *state) time.Duration { return s.pool.PauseLeft(now, c) })
+}
+
 // withholdTargets publishes which targets must get no requests.
 func (f *Front) withholdTargets(now time.Duration, s *state) {
 	m := s.pool.Withheld(now)
@@ -45,6 +77,7 @@
 		}
 	}
 	f.meter.leaving.Update(float64(leaving))
+	f.meter.paused.Update(float64(len(m) - leaving))
 }
 
 // withheld reports whether a target must get no requests. It may have been chosen before that
@@ -57,12 +90,13 @@
 // handleNotRun handles a response which guarantees that the request has not run, unless it is
 // cut off. A misdirected request (421) reached another process than the target, so the target
 // counts as unreachable.
-func (e *exchange) handleNotRun(a *http.Response) result {
+func (e *exchange) handleNotRun(a *http.Response, r Reply) result {
 	if _, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxBuffered)); err != nil {
 		e.broken = true
 		return result{sent: true, mayHaveRun: true, err: fmt.Errorf("read response body: %w", err)}
 	}
 	e.keep(a)
+	e.observePause(a.StatusCode, r)
 	e.outcome = pool.Rejected
 	if a.StatusCode == http.StatusMisdirectedRequest {
 		e.outcome = pool.Unreachable
--- a/io/front/refuse.go
+++ b/io/front/refuse.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -69,11 +70,11 @@
 }
 
 // refuse writes a response of the front itself. The header Retry-After is omitted if
-// retryAfter is 0.
+// retryAfter is 0, and never shorter.
 func (q *request) refuse(status int, reason string, retryAfter time.Duration) {
 	h := q.writer.Header()
 	if retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
+		h.Set("Retry-After", strconv.FormatFloat(math.Ceil(retryAfter.Seconds()*100)/100, 'f', 2, 64))
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	q.closeIfStopping()
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -337,7 +337,7 @@
 		}
 		q.summary.lastError = v.err
 		if !q.retry(ctx, v) {
-			q.fail(ctx, v.err, v.retryAfter)
+			q.fail(ctx, v.err, q.pauseLeft(ctx))
 			return
 		}
 	}
@@ -415,9 +415,6 @@
 	// mayHaveRun is true if the target may have run the request.
 	mayHaveRun bool
 	err        error
-	// retryAfter is the Retry-After of the refusal if the request isn't dispatched again; 0
-	// for none.
-	retryAfter time.Duration
 }
 
 // retry reports whether the request may be dispatched again, and if so, takes it from
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -327,7 +327,7 @@
 // target's response. So does one that callers would take for a refusal which has run nothing.
 func (e *exchange) handle(a *http.Response, r Reply) result {
 	if r.NotRun {
-		return e.handleNotRun(a)
+		return e.handleNotRun(a, r)
 	}
 	success := a.StatusCode >= http.StatusOK && a.StatusCode < http.StatusMultipleChoices
 	proved := r.HasReceipt && r.ID != ""
