--- a/core/poison/check.go
+++ b/core/poison/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -9,11 +10,21 @@
 // suspect is a part that enough crashes count for.
 type suspect struct {
 	*entry
+	// crashes are those that count, in the order in which this front learned of them.
 	crashes []crash
 	// due is when the part may be isolated.
 	due time.Duration
 }
 
+// needing returns s with the time from which it may be isolated for n crashes.
+func (s suspect) needing(n int) suspect {
+	s.due = math.MaxInt64
+	if len(s.crashes) >= n {
+		s.due = s.crashes[n-1].learned + settle
+	}
+	return s
+}
+
 // before orders suspects by how likely they are the cause.
 func (s suspect) before(o suspect) bool {
 	return cmp.Or(
@@ -53,6 +64,10 @@
 				first = s
 			}
 		}
+		tied := slices.DeleteFunc(slices.Clone(ss), func(s suspect) bool { return s.entry != first.entry && !s.ties(first) })
+		if len(tied) > 1 {
+			first = first.needing(minCrashesSound)
+		}
 		if first.due > now {
 			next = min(next, first.due)
 			for _, c := range first.crashes {
@@ -60,11 +75,9 @@
 			}
 			continue
 		}
-		for _, s := range ss {
-			if s.entry == first.entry || s.ties(first) {
-				cs = t.isolate(now, now, s.entry, len(s.crashes), cs)
-				next = min(next, now+hold)
-			}
+		for _, s := range tied {
+			cs = t.isolate(now, now, s.entry, len(s.crashes), cs)
+			next = min(next, now+hold)
 		}
 	}
 	t.due = next
@@ -85,7 +98,7 @@
 			continue
 		}
 		slices.SortFunc(cs, func(a, b crash) int { return cmp.Compare(a.learned, b.learned) })
-		ss = append(ss, suspect{e, cs, cs[n-1].learned + settle})
+		ss = append(ss, suspect{entry: e, crashes: cs}.needing(n))
 	}
 	return ss
 }
--- a/core/poison/entry.go
+++ b/core/poison/entry.go
@@ -44,6 +44,9 @@
 		t.evict()
 	}
 	e := &entry{part: p, latest: never, past: never, sound: never, isolated: never, since: never, keep: never, changed: now, reported: never}
+	if at, ok := t.answered.Peek(p); ok && now-at < memory {
+		e.sound = at
+	}
 	t.entries[p] = e
 	return e
 }
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -32,6 +32,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 const (
@@ -39,9 +40,9 @@
 	memory = 5 * time.Minute
 	// minCrashes is how many crashes isolate a part: two may coincide by chance.
 	minCrashes = 3
-	// minCrashesSound replaces minCrashes for a part that has been answered: its requests
-	// probably only share targets with the cause.
-	minCrashesSound = 6
+	// minCrashesSound replaces minCrashes for a part that has been answered, whose requests
+	// probably only share targets with the cause, and for parts that nothing tells apart.
+	minCrashesSound = 5
 	// settle is how long reports of sound answers may take to arrive before a part is isolated.
 	settle = time.Second
 	// hold is how long a part stays isolated, as what made it crash targets may be mended.
@@ -52,6 +53,8 @@
 	maxCrashes = 64
 	// maxExplained bounds the crashes that are known to be explained.
 	maxExplained = 4096
+	// maxAnswered bounds the parts whose last answer is known.
+	maxAnswered = 8192
 	// never is the time of what has not happened, before any other.
 	never = time.Duration(-1 << 62)
 )
@@ -88,6 +91,9 @@
 // Table is what one front knows of suspected parts. It is not safe for concurrent use.
 type Table struct {
 	entries map[Part]*entry
+	// answered holds the time of the last answer to requests with a part, whether it is suspected
+	// or not: a part that was answered before the first crash is hardly the cause.
+	answered *simplelru.LRU[Part, time.Duration]
 	// explained keeps crashes after an isolation expired, as other parts still hold them.
 	explained map[CrashID]explained
 	// due is when Check next has anything to do.
@@ -98,7 +104,8 @@
 
 // New returns an empty Table.
 func New() *Table {
-	return &Table{entries: map[Part]*entry{}, explained: map[CrashID]explained{}, due: never, set: map[Part]time.Duration{}}
+	a, _ := simplelru.NewLRU[Part, time.Duration](maxAnswered, nil) // fails only for sizes below 1
+	return &Table{entries: map[Part]*entry{}, answered: a, explained: map[CrashID]explained{}, due: never, set: map[Part]time.Duration{}}
 }
 
 // Crash records that a target crashed while requests with these parts, which had made no
@@ -124,11 +131,9 @@
 // Sound records that a request with these parts was answered or made progress, and returns the
 // isolations that it ends.
 func (t *Table) Sound(now time.Duration, parts []Part) []Change {
-	if len(t.entries) == 0 {
-		return nil
-	}
 	var cs []Change
 	for _, p := range parts {
+		t.answered.Add(p, now)
 		if e := t.entries[p]; e != nil {
 			cs = t.sound(now, now, e, cs)
 		}
