--- a/io/link/link.go
+++ b/io/link/link.go
@@ -20,6 +20,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -76,13 +77,37 @@
 // Offer opens a stream to the agent at the address peer. It sends no offer: if it fails,
 // the request can't have run.
 func (l *Client) Offer(ctx context.Context, peer string) (wire.DRPCAgent_OfferClient, error) {
-	s, err := wire.NewDRPCAgentClient(l.conn(ctx, peer)).Offer(ctx)
+	pooled := true
+	c := l.pool.Get(ctx, peer, func(ctx context.Context, peer string) (drpcpool.Conn, error) {
+		pooled = false
+		return l.dial(ctx, peer)
+	})
+	s, err := wire.NewDRPCAgentClient(c).Offer(ctx)
+	if err != nil && pooled && ctx.Err() == nil {
+		// The pool takes back a connection whose stream was canceled just before it is
+		// closed. Its failure tells nothing of the peer.
+		s, err = l.offerOnNew(ctx, peer)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("open stream to %s: %w", peer, err)
 	}
 	return s, nil
 }
 
+// offerOnNew is Offer on a new connection, which is pooled after the stream.
+func (l *Client) offerOnNew(ctx context.Context, peer string) (wire.DRPCAgent_OfferClient, error) {
+	c, err := l.dial(ctx, peer)
+	if err != nil {
+		return nil, err
+	}
+	s, err := wire.NewDRPCAgentClient(c).Offer(ctx)
+	if err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	context.AfterFunc(s.Context(), func() { l.pool.Put(peer, c) })
+	return s, nil
+}
+
 // Sync exchanges state with the process at the address peer.
 func (l *Client) Sync(ctx context.Context, peer string, q *wire.SyncRequest) (*wire.SyncReply, error) {
 	r, err := wire.NewDRPCPeerClient(l.conn(ctx, peer)).Sync(ctx, q)
