--- a/internal/fleet/fault_test.go
+++ b/internal/fleet/fault_test.go
@@ -395,6 +395,19 @@
 	}
 }
 
+// Closes the port of an agent. The log must tell why its target is avoided.
+func TestUnreachableAgentIsLogged(t *testing.T) {
+	b := newBench(t)
+	a := b.startService("intake-1", newFake(true), 1)
+	e := b.startEntry("entry-1")
+	b.start(e)
+	a.Relay.Close()
+	b.until("the log reports the offer", func() bool {
+		b.send("GET", e.URL+"/services/intake/x", "")
+		return b.logged("offer not sent")
+	})
+}
+
 // Removes a contract while one of its requests runs and one is queued. The running one is
 // completed, the queued one refused.
 func TestRemovedContractRefusesQueuedRequest(t *testing.T) {
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -33,7 +33,7 @@
 	r := a.request
 	w, err := r.entry.link.Offer(ctx, a.choice.Target.Peer)
 	if err != nil {
-		return a.notSent(ctx)
+		return a.notSent(ctx, err)
 	}
 	a.wire = w
 	a.post(func(now time.Duration, s *state) { s.router.Sent(now, a.choice.Target.Name, r.routing) })
@@ -56,12 +56,13 @@
 	a.request.entry.loop.Post(f)
 }
 
-// notSent handles a failure before any byte of the offer was sent. It returns what run
+// notSent handles an error before any byte of the offer was sent. It returns what run
 // returns.
-func (a *attempt) notSent(ctx context.Context) (call.Outcome, bool) {
+func (a *attempt) notSent(ctx context.Context, err error) (call.Outcome, bool) {
 	if ctx.Err() != nil {
 		return a.request.finish(a.endEvent(ctx)), true
 	}
+	a.request.entry.telem.Log.Info("offer not sent", "request-id", a.id, "target", a.choice.Target.Name, "error", err.Error())
 	a.suspect()
 	switch x := a.request.machine.Step(offer.NotSent{}).(type) {
 	case offer.Finish:
