--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -258,6 +258,9 @@
 	if f.turnsAway() {
 		return r.turnAway(c, f, says, head)
 	}
+	if sendEndless(c, f, head) {
+		return false
+	}
 	switch f {
 	case Failing:
 		return write(c, "HTTP/1.1 500 Internal Server Error\r\n%sContent-Length: 6\r\n\r\nfailed", head)
--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -27,6 +27,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -45,6 +46,9 @@
 // ErrClosed reports a new connection that was closed before it was used.
 var ErrClosed = errors.New("new connection closed by the target")
 
+// ErrHeadTooLong reports a response whose head doesn't end within its bounds.
+var ErrHeadTooLong = errors.New("head of the response is too long")
+
 // Bounds of connections.
 const (
 	// connectTimeout is many times the round trip between data centres, and short
@@ -70,6 +74,10 @@
 	maxIdle = 32
 	// readBuffer is the size of a connection's read buffer, in bytes.
 	readBuffer = 2 << 10
+	// maxHead is the largest size of the head of a response, in bytes, with the interim
+	// responses before it, of which there may be maxInterim.
+	maxHead    = 64 << 10
+	maxInterim = 8
 	// sweepInterval is how often connections that were idle for too long are closed.
 	sweepInterval = time.Second
 )
@@ -125,7 +133,9 @@
 // Conn is one connection. It is used by one request at a time and is not safe for
 // concurrent use, except for Close.
 type Conn struct {
-	net     net.Conn
+	net    net.Conn
+	source *source
+	// reader reads from source.
 	reader  *bufio.Reader
 	address string
 	// Reused is true if an earlier request used the connection.
@@ -194,7 +204,27 @@
 	d.mu.Lock()
 	d.opened++
 	d.mu.Unlock()
-	return &Conn{net: n, reader: bufio.NewReaderSize(n, readBuffer), address: address, idleSince: time.Now(), keepAlive: defaultKeepAlive}, nil
+	o := &source{net: n, left: unlimited}
+	return &Conn{net: n, source: o, reader: bufio.NewReaderSize(o, readBuffer), address: address, idleSince: time.Now(), keepAlive: defaultKeepAlive}, nil
+}
+
+// unlimited is the number of bytes left to a source without bound.
+const unlimited = math.MaxInt64
+
+// source reads from a connection until a number of bytes have been read.
+type source struct {
+	net  net.Conn
+	left int64
+}
+
+// Read implements io.Reader. It fails with ErrHeadTooLong at the bound.
+func (o *source) Read(b []byte) (int, error) {
+	if o.left <= 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err := o.net.Read(b[:min(int64(len(b)), o.left)])
+	o.left -= int64(n)
+	return n, err
 }
 
 // Counts returns how many connections were opened and how often an idle one was taken.
@@ -340,17 +370,22 @@
 
 // Receive reads the status and headers of the response to a request with the given
 // method. Interim responses (1xx) are skipped. The body is read from the connection.
+// It fails with an error that wraps ErrHeadTooLong if the head doesn't end within its bounds:
+// a faulty target may send bytes for as long as they are read.
 func (c *Conn) Receive(method string) (*http.Response, error) {
 	q := &http.Request{Method: method}
-	for {
+	c.source.left = maxHead
+	for range maxInterim + 1 {
 		a, err := http.ReadResponse(c.reader, q)
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
 		if a.StatusCode >= http.StatusOK {
+			c.source.left = unlimited
 			return a, nil
 		}
 	}
+	return nil, fmt.Errorf("read response: %d interim responses: %w", maxInterim+1, ErrHeadTooLong)
 }
 
 // Close closes the connection, which the target takes as a cancellation. Its error is
--- a/io/front/notice.go
+++ b/io/front/notice.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -91,7 +90,7 @@
 // cut off. A misdirected request (421) reached another process than the target, so the target
 // counts as unreachable.
 func (e *exchange) handleNotRun(a *http.Response, r Reply) result {
-	if _, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxBuffered)); err != nil {
+	if err := discard(a.Body); err != nil {
 		e.broken = true
 		return result{sent: true, mayHaveRun: true, err: fmt.Errorf("read response body: %w", err)}
 	}
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -24,6 +23,9 @@
 	// maxBuffered is the size in bytes up to which a response is read completely before it
 	// is forwarded. Larger ones are forwarded while they are read.
 	maxBuffered = 1 << 20
+	// maxBody is the largest size in bytes of a response that is no stream. A larger one is
+	// broken off, as it may never end.
+	maxBody = 64 << 20
 	// A target is stalled if the first event of a stream takes longer than both
 	// firstByteStallFactor times the predicted time and minFirstByteStall.
 	minFirstByteStall    = 700 * time.Millisecond
@@ -50,6 +52,7 @@
 	errNoEvents     = errors.New("stream without length ended before its first event")
 	errDeclined     = errors.New("target declined to go on with the response")
 	errSilenceEnded = errors.New("silent target has gone on")
+	errBodyTooLong  = errors.New("response body is too long")
 )
 
 // newExchange returns an exchange of the request with a target that has a slot for it. Sends is
@@ -280,12 +283,21 @@
 		if !e.conn.Reused || n >= maxUnexpected {
 			return nil, r, errWrongRequest
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxBuffered)); err != nil {
+		if err := discard(a.Body); err != nil {
 			return nil, r, errors.Join(errWrongRequest, err)
 		}
 	}
 }
 
+// discard reads a body to its end. It fails with errBodyTooLong after maxBuffered.
+func discard(b io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(b, maxBuffered+1))
+	if err == nil && n > maxBuffered {
+		err = errBodyTooLong
+	}
+	return err
+}
+
 func (q *request) workspaceName() string {
 	if q.workspace == nil {
 		return ""
@@ -353,18 +365,21 @@
 }
 
 // readPlain reads a response that is no stream, up to maxBuffered. A server error other than
-// 504 is kept as the fallback, as another target may succeed.
+// 504 is kept as the fallback, as another target may succeed. Only a success may be longer.
 func (e *exchange) readPlain(success bool) error {
 	a := e.response
-	var b bytes.Buffer
-	n, err := io.Copy(&b, io.LimitReader(a.Body, maxBuffered+1))
+	b, n, err := readBlocks(io.LimitReader(a.Body, maxBuffered+1))
 	if err != nil {
 		e.broken = true
 		return fmt.Errorf("read response body: %w", err)
 	}
-	e.plain = &response{status: a.StatusCode, header: responseHeaders(a.Header), body: b.Bytes(), whole: n <= maxBuffered, length: a.ContentLength}
-	if !e.plain.whole {
+	e.plain = &response{status: a.StatusCode, header: responseHeaders(a.Header), body: b, whole: n <= maxBuffered, length: a.ContentLength}
+	switch {
+	case !e.plain.whole && success:
 		return nil
+	case !e.plain.whole:
+		e.plain, e.broken = nil, true
+		return fmt.Errorf("status %d: %w", a.StatusCode, errBodyTooLong)
 	}
 	e.keep(a)
 	e.outcome = pool.Good
@@ -384,6 +399,32 @@
 	return nil
 }
 
+// Sizes in bytes of the blocks that a response is read into: each is twice as large as the one
+// before.
+const (
+	minBlock = 2 << 10
+	maxBlock = 64 << 10
+)
+
+// readBlocks reads r to its end.
+func readBlocks(r io.Reader) (blocks [][]byte, size int, err error) {
+	for next := minBlock; ; next = min(maxBlock, 2*next) {
+		b, n := make([]byte, next), 0
+		for n < len(b) && err == nil {
+			var m int
+			m, err = r.Read(b[n:])
+			n += m
+		}
+		blocks, size = append(blocks, b[:n]), size+n
+		if errors.Is(err, io.EOF) {
+			return blocks, size, nil
+		}
+		if err != nil {
+			return nil, size, err
+		}
+	}
+}
+
 // forward forwards the response to the caller.
 func (e *exchange) forward() result {
 	if e.plain != nil {
@@ -406,7 +447,7 @@
 	e.recordFirstByte()
 	e.plain.write(q)
 	if !e.plain.whole {
-		if _, err := io.Copy(q.writer, a.Body); err != nil {
+		if err := e.copyRest(); err != nil {
 			return result{sent: true, mayHaveRun: true, err: err, abort: fmt.Sprintf("cut: %v", err)}
 		}
 		e.keep(a)
@@ -416,6 +457,15 @@
 	return result{done: true}
 }
 
+// copyRest forwards the part of the response that was not read into the buffer.
+func (e *exchange) copyRest() error {
+	n, err := io.Copy(e.request.writer, io.LimitReader(e.response.Body, maxBody-maxBuffered))
+	if err == nil && n == maxBody-maxBuffered {
+		err = errBodyTooLong
+	}
+	return err
+}
+
 // recordFirstByte reports to the pool how long the first event of a stream took, or the
 // reading of another response into the buffer.
 func (e *exchange) recordFirstByte() {
@@ -436,7 +486,8 @@
 type response struct {
 	status int
 	header http.Header
-	body   []byte
+	// body is in blocks, which need not be copied while it grows.
+	body [][]byte
 	// whole is false if body holds only the beginning of the body, whose size in bytes is then
 	// length, or -1 if unknown.
 	whole  bool
@@ -451,8 +502,11 @@
 	}
 	q.closeIfStopping()
 	q.writer.WriteHeader(o.status)
-	if _, err := q.writer.Write(o.body); err != nil {
-		q.summary.detail = err.Error()
+	for _, b := range o.body {
+		if _, err := q.writer.Write(b); err != nil {
+			q.summary.detail = err.Error()
+			return
+		}
 	}
 }
 
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -36,7 +36,10 @@
 	}
 	for {
 		n, err := e.response.Body.Read(e.buffer)
-		es := e.events.Push(e.buffer[:n])
+		es, perr := e.events.Push(e.buffer[:n])
+		if perr != nil {
+			err = perr // an error of the connection comes again, or the event never ends
+		}
 		if len(es) > 0 || err != nil {
 			e.received += len(es)
 			e.noteBegun()
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -43,6 +43,8 @@
 	dialTimeout = 2 * time.Second
 	idleConns   = 256
 	readBytes   = 16 << 10
+	// maxHeaderBytes is the largest size of a response's head.
+	maxHeaderBytes = 64 << 10
 	// maxParsedBytes is the size of the largest JSON response that token counts are read
 	// from.
 	maxParsedBytes = 4 << 20
@@ -106,8 +108,8 @@
 	return &Client{
 		url:      u,
 		stall:    stall,
-		pooled:   newService(&http.Transport{MaxIdleConnsPerHost: idleConns, DisableCompression: true}),
-		unpooled: newService(&http.Transport{DisableKeepAlives: true, DisableCompression: true}),
+		pooled:   newService(&http.Transport{MaxIdleConnsPerHost: idleConns, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}),
+		unpooled: newService(&http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}),
 	}, nil
 }
 
