--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -7,15 +7,19 @@
 // find each other within a few heartbeats. The number of recipients is bounded, so a
 // front's cost doesn't grow with the number of fronts.
 //
-// A peer is live for AliveFor after its last heartbeat. After that it may still be
-// serving on the other side of a partition, and Count includes it in the total until
-// ServingFor has passed, unless its last heartbeat announced that it is leaving.
+// As a heartbeat reaches few peers of a large fleet, it also carries sightings: the latest
+// heartbeats that the sender knows of other peers, from them or from what others passed on,
+// with their age. A peer is live for AliveFor after its last heartbeat that is known here,
+// and in a large fleet for up to MaxAliveFor.
+// After that it may still be serving on the other side of a partition, and Count includes it
+// in the total until ServingFor has passed, unless it announced that it is leaving.
 //
 // # Usage
 //
 //	t := peers.New("192.0.2.1:7600", seeds)
 //	fresh := t.Observe(now, peers.Heartbeat{Peer: "192.0.2.7:7600", Incarnation: 3, Sequence: 41})
-//	for _, a := range t.Recipients(random, nil) { send(a, heartbeat) }
+//	t.Hear(now, sightings)
+//	for _, a := range t.Recipients(random, nil) { send(a, heartbeat, t.Sightings(now, random)) }
 //	live, total := t.Count(now)
 package peers
 
@@ -28,9 +32,12 @@
 
 // Times since a peer's last heartbeat.
 const (
-	// AliveFor is how long a peer counts as live. Heartbeats are sent at least every
-	// 250 ms and single datagrams get lost.
+	// AliveFor is how long a peer counts as live in a fleet of up to smallFleet fronts.
+	// Heartbeats are sent at least every 250 ms and single datagrams get lost.
 	AliveFor = 1200 * time.Millisecond
+	// MaxAliveFor is the same for a fleet of largeFleet fronts or more, in which it takes
+	// several heartbeats until all fronts have heard of one.
+	MaxAliveFor = 2500 * time.Millisecond
 	// ServingFor is how long a peer without heartbeats may be serving behind a
 	// partition. It is longer than partitions usually last. After it, the peer counts as
 	// stopped.
@@ -39,13 +46,19 @@
 	EvictAfter = 2 * time.Minute
 )
 
+// Numbers of fronts between which the time that a peer counts as live grows.
+const (
+	smallFleet = 100
+	largeFleet = 300
+)
+
 // Sizes of a heartbeat.
 const (
 	// recipients is the largest number of peers that one heartbeat is sent to, so that
 	// a front's cost doesn't grow with the number of fronts.
 	recipients = 24
 	// sampled is the largest number of peer addresses that a heartbeat carries.
-	sampled = 8
+	sampled = 4
 )
 
 // Heartbeat is the part of a peer's heartbeat that concerns membership.
@@ -75,26 +88,50 @@
 	// been named by others, at the time added.
 	known bool
 	added time.Duration
+	// hash is the Hash of the address.
+	hash uint32
+	// sign is the last sign of life, and since when the peer has counted as live without
+	// interruption.
+	sign  sign
+	since time.Duration
+	// continuous is true if the peer counted as live from its last heartbeat but one to the
+	// last one.
+	continuous bool
 }
 
-func (e *peer) alive(now time.Duration) bool { return e.known && now-e.received <= AliveFor }
-
-// serving reports whether the peer may be serving, also behind a partition.
-func (e *peer) serving(now time.Duration) bool {
-	return e.alive(now) || e.known && !e.last.Leaving && now-e.received <= ServingFor
-}
+// heard reports whether the last sign of life of the peer is no older than d.
+func (e *peer) heard(now, d time.Duration) bool { return e.sign.known && now-e.sign.at <= d }
 
 // Table is one front's membership table. It is not safe for concurrent use.
 type Table struct {
 	self  string
 	seeds []string
 	peers map[string]*peer
+	// byHash holds the peers by Hash of their address, and order the same in any order.
+	byHash map[uint32]*peer
+	order  []*peer
+	// sighted is when Sightings was last called, and mutedUntil the end of the time in which
+	// it returns nothing.
+	sighted, mutedUntil time.Duration
+}
+
+// aliveFor returns how long a peer counts as live after its last heartbeat.
+func (t *Table) aliveFor() time.Duration {
+	f := float64(len(t.peers)-smallFleet) / (largeFleet - smallFleet)
+	return AliveFor + time.Duration(min(1, max(0, f))*float64(MaxAliveFor-AliveFor))
+}
+
+func (t *Table) alive(now time.Duration, e *peer) bool { return e.heard(now, t.aliveFor()) }
+
+// serving reports whether a peer may be serving, also behind a partition.
+func (t *Table) serving(now time.Duration, e *peer) bool {
+	return t.alive(now, e) || !e.sign.leaving && e.heard(now, ServingFor)
 }
 
 // New returns the table of a front with the address self that has received no
 // heartbeat yet.
 func New(self string, seeds []string) *Table {
-	t := &Table{self: self, peers: map[string]*peer{}}
+	t := &Table{self: self, peers: map[string]*peer{}, byHash: map[uint32]*peer{}}
 	for _, s := range seeds {
 		if s != self {
 			t.seeds = append(t.seeds, s)
@@ -113,10 +150,12 @@
 		return false
 	}
 	e := t.add(now, b.Peer)
-	if e.known && (b.Incarnation < e.last.Incarnation && now-e.received <= AliveFor ||
+	if e.known && (b.Incarnation < e.last.Incarnation && t.alive(now, e) ||
 		b.Incarnation == e.last.Incarnation && b.Sequence <= e.last.Sequence) {
 		return false
 	}
+	e.continuous = e.known && t.alive(now, e) && e.since <= e.received
+	t.see(now, e, sign{known: true, beat: beatNumber(b), at: now, leaving: b.Leaving})
 	e.last, e.received, e.known = b, now, true
 	for _, a := range b.Peers {
 		t.add(now, a)
@@ -132,22 +171,27 @@
 		e = &peer{added: now}
 		if a != t.self {
 			t.peers[a] = e
+			e.hash = Hash(a)
+			t.byHash[e.hash] = e
+			t.order = append(t.order, e)
 		}
 	}
 	return e
 }
 
-// Expire removes the peers that have sent no heartbeat for EvictAfter. It returns the
+// Expire removes the peers of which nothing was heard for EvictAfter. It returns the
 // sorted addresses of all peers that have sent heartbeats and are no longer live. A peer
 // is returned by every call until it is removed, not only by the first.
 func (t *Table) Expire(now time.Duration) []string {
 	var stopped []string
 	for a, e := range t.peers {
-		last := max(e.received, e.added)
+		last := max(e.received, e.sign.at, e.added)
 		if now-last > EvictAfter {
 			delete(t.peers, a)
+			delete(t.byHash, e.hash)
+			t.order = slices.DeleteFunc(t.order, func(o *peer) bool { return o == e })
 		}
-		if e.known && now-e.received > AliveFor {
+		if e.known && !t.alive(now, e) {
 			stopped = append(stopped, a)
 		}
 	}
@@ -158,7 +202,14 @@
 // Alive reports whether a peer is live.
 func (t *Table) Alive(now time.Duration, a string) bool {
 	e := t.peers[a]
-	return e != nil && e.alive(now)
+	return e != nil && t.alive(now, e)
+}
+
+// Continuous reports whether a peer counted as live from its last heartbeat but one until its
+// last one. What it did in between was then done by a front that is counted here.
+func (t *Table) Continuous(a string) bool {
+	e := t.peers[a]
+	return e != nil && e.continuous
 }
 
 // Count returns the number of live fronts and the total of those that may be serving.
@@ -166,10 +217,10 @@
 func (t *Table) Count(now time.Duration) (live, total int) {
 	live, total = 1, 1
 	for _, e := range t.peers {
-		if e.alive(now) {
+		if t.alive(now, e) {
 			live++
 		}
-		if e.serving(now) {
+		if t.serving(now, e) {
 			total++
 		}
 	}
@@ -211,7 +262,7 @@
 func (t *Table) Serving(now time.Duration) []string {
 	var as []string
 	for a, e := range t.peers {
-		if e.serving(now) {
+		if t.serving(now, e) {
 			as = append(as, a)
 		}
 	}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -5,7 +5,8 @@
 // that length, plus its burst. Each front sums the usage of all fronts over the last
 // window. It counts its own requests at once, and the usage of the other fronts when their
 // heartbeats report it. Heartbeats carry a running total since the sender's start, so a
-// lost one is made up by the next.
+// lost one is made up by the next, also in a large fleet, where the heartbeats of a front
+// reach a given other one every few seconds.
 //
 // A front that has just started knows nothing of the past. It takes the sustained part of
 // the allowance for used, evenly over the window before its start, which leaves the burst.
@@ -26,7 +27,7 @@
 //	l := quota.New(hash, quota.DefaultWindow)
 //	l.Configure(now, workspaces)
 //	wait, ok := l.Take(now, "workspace", 1500)
-//	l.Observe(now, "192.0.2.7:7600", incarnation, false, uses)
+//	l.Observe(now, "192.0.2.7:7600", quota.Report{Incarnation: 3, Continuous: true, Uses: uses})
 //	l.SetFronts(now, 4, 5)
 package quota
 
@@ -81,14 +82,19 @@
 type peerUsage struct {
 	incarnation uint64
 	uses        Uses
-	received    time.Duration
 }
 
-// StaleAfter is how long after a peer's last heartbeat the growth of its usage is still
-// charged. After that the peer does not count as live here and the limit approaches a
-// smaller share of the allowance, which leaves room for the peer's usage; charging the
-// usage as well would count it twice. It equals peers.AliveFor.
-const StaleAfter = 1200 * time.Millisecond
+// Report is the usage that a peer's heartbeat reports.
+type Report struct {
+	// Incarnation tells the runs of the process at one address apart.
+	Incarnation uint64
+	// Started is true if the process has started recently.
+	Started bool
+	// Continuous is true if the peer has counted as live here since its previous heartbeat;
+	// see peers.Table.Continuous.
+	Continuous bool
+	Uses       Uses
+}
 
 // Limiter holds the usage of all workspaces as known to one front. It is not safe for
 // concurrent use.
@@ -186,27 +192,25 @@
 }
 
 // Observe records the usage that a peer's heartbeat reports and charges its growth since
-// the peer's previous heartbeat. The usage in a peer's first heartbeat, or in one that
-// comes more than StaleAfter after the previous one, is not charged: it is from a time in
-// which this front did not count the peer as live. There are two special cases:
+// the peer's previous heartbeat. The usage in a peer's first heartbeat, or in one before which
+// the peer did not count as live all the time, is not charged: the limit has left room for it
+// then. There are two special cases:
 //
-//   - If started is true, the peer has started recently. All of its usage is charged, as
-//     all of it is recent.
-//   - If started is false and the peer reports for the first time, then it may be this
-//     front that has just started. Its level is lowered to the peer's level.
-func (l *Limiter) Observe(now time.Duration, peer string, incarnation uint64, started bool, us Uses) {
+//   - If the peer has started recently, all of its usage is charged, as all of it is recent.
+//   - If it has not and reports for the first time, then it may be this front that has just
+//     started. Its level is lowered to the peer's level.
+func (l *Limiter) Observe(now time.Duration, peer string, r Report) {
 	p := l.peers[peer]
-	charged := started || (p != nil && now-p.received <= StaleAfter)
+	charged := r.Started || p != nil && r.Continuous
 	first := p == nil
 	switch {
 	case p == nil:
-		p = &peerUsage{incarnation: incarnation, uses: Uses{}}
+		p = &peerUsage{incarnation: r.Incarnation, uses: Uses{}}
 		l.peers[peer] = p
-	case p.incarnation != incarnation:
-		p.incarnation, p.uses = incarnation, Uses{}
+	case p.incarnation != r.Incarnation:
+		p.incarnation, p.uses = r.Incarnation, Uses{}
 	}
-	p.received = now
-	for h, u := range us {
+	for h, u := range r.Uses {
 		a := l.accounts[h]
 		switch {
 		case a == nil:
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -1,11 +1,14 @@
 package quota_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"kingcupstand/core/peers"
 	"kingcupstand/core/plan"
 	"kingcupstand/core/pool"
 	"kingcupstand/core/quota"
@@ -37,7 +40,8 @@
 		}
 		same := func(now time.Duration, i, j int) bool { return now < split || now >= heal || (i < side) == (j < side) }
 		used := 0.0
-		var recent []float64 // usage by step
+		received := make([][6]time.Duration, n) // when the last heartbeat came, by sender and receiver
+		var recent []float64                    // usage by step
 		for now := time.Duration(0); now < length; now += step {
 			recent = append(recent, 0)
 			for i, q := range qs {
@@ -54,7 +58,8 @@
 						live++
 					}
 					if i != j && same(now, i, j) {
-						p.Observe(now, string(rune('a'+i)), 1, false, q.Uses(now))
+						p.Observe(now, string(rune('a'+i)), quota.Report{Incarnation: 1, Continuous: now-received[i][j] <= peers.AliveFor, Uses: q.Uses(now)})
+						received[i][j] = now
 					}
 				}
 				q.SetFronts(now, live, n)
@@ -152,9 +157,9 @@
 	q := quota.New(pool.Hash, window)
 	q.Configure(0, []*plan.Workspace{{Name: "w", Rate: 10, Burst: 100}})
 	h := pool.Hash("w")
-	q.Observe(0, "p", 1, false, quota.Uses{})
-	q.Observe(0, "p", 1, false, quota.Uses{h: {Used: 30, Level: 100}})
-	q.Observe(0, "p", 2, false, quota.Uses{h: {Used: 5, Level: 100}})
+	q.Observe(0, "p", quota.Report{Incarnation: 1, Continuous: true, Uses: quota.Uses{}})
+	q.Observe(0, "p", quota.Report{Incarnation: 1, Continuous: true, Uses: quota.Uses{h: {Used: 30, Level: 100}}})
+	q.Observe(0, "p", quota.Report{Incarnation: 2, Continuous: true, Uses: quota.Uses{h: {Used: 5, Level: 100}}})
 	if got := q.State(0, "w").Level; got != 65 {
 		t.Errorf("level %v, want 65", got)
 	}
@@ -186,11 +191,11 @@
 	q := quota.New(pool.Hash, window)
 	q.Configure(0, []*plan.Workspace{{Name: "w", Rate: 10, Burst: 100}})
 	h := pool.Hash("w")
-	q.Observe(0, "p", 1, false, quota.Uses{h: {Used: 1e6, Level: 100}})
+	q.Observe(0, "p", quota.Report{Incarnation: 1, Continuous: true, Uses: quota.Uses{h: {Used: 1e6, Level: 100}}})
 	if got := q.State(0, "w").Level; got != 100 {
 		t.Errorf("level %v after the first heartbeat of an older peer, want 100", got)
 	}
-	q.Observe(0, "p", 1, false, quota.Uses{h: {Used: 1e6 + 30, Level: 100}})
+	q.Observe(0, "p", quota.Report{Incarnation: 1, Continuous: true, Uses: quota.Uses{h: {Used: 1e6 + 30, Level: 100}}})
 	if got := q.State(0, "w").Level; got != 70 {
 		t.Errorf("level %v, want 70", got)
 	}
@@ -202,11 +207,11 @@
 	q := quota.New(pool.Hash, window)
 	q.Configure(0, []*plan.Workspace{{Name: "w", Rate: 10, Burst: 100}})
 	h := pool.Hash("w")
-	q.Observe(0, "p", 1, false, quota.Uses{h: {Used: 0, Level: 100}})
+	q.Observe(0, "p", quota.Report{Incarnation: 1, Continuous: true, Uses: quota.Uses{h: {Used: 0, Level: 100}}})
 	q.SetFronts(time.Second, 1, 2)
 	back := 8 * time.Second
 	want := q.State(back, "w").Level
-	q.Observe(back, "p", 1, false, quota.Uses{h: {Used: 5000, Level: 100}})
+	q.Observe(back, "p", quota.Report{Incarnation: 1, Continuous: false, Uses: quota.Uses{h: {Used: 5000, Level: 100}}})
 	if got := q.State(back, "w").Level; got != want {
 		t.Errorf("level %v after the partition, want %v as before the heartbeat", got, want)
 	}
@@ -233,7 +238,7 @@
 			if now >= found && now%(250*time.Millisecond) == 0 {
 				for j, p := range qs {
 					if i != j {
-						p.Observe(now, string(rune('a'+i)), 2, now < 5*time.Second, q.Uses(now))
+						p.Observe(now, string(rune('a'+i)), quota.Report{Incarnation: 2, Started: now < 5*time.Second, Continuous: true, Uses: q.Uses(now)})
 					}
 				}
 			}
@@ -274,7 +279,7 @@
 			if now%(250*time.Millisecond) == 0 {
 				for j, p := range qs {
 					if i != j {
-						p.Observe(now, string(rune('a'+i)), incarnations[i], now-started[i] < time.Second, q.Uses(now))
+						p.Observe(now, string(rune('a'+i)), quota.Report{Incarnation: incarnations[i], Started: now-started[i] < time.Second, Continuous: true, Uses: q.Uses(now)})
 					}
 				}
 			}
@@ -285,3 +290,47 @@
 		t.Errorf("used %.0f, want at most %.0f", used, limit)
 	}
 }
+
+// In a large fleet a heartbeat reaches a given front every few seconds only. What its sender has
+// used is charged all the same, so that the fleet keeps to the allowance.
+func TestAllowanceHoldsAmongManyFronts(t *testing.T) {
+	const (
+		n           = 68
+		recipients  = 24
+		rate, burst = 20000.0, 20000.0
+		cost        = 100.0
+		step        = 50 * time.Millisecond
+	)
+	r := rand.New(rand.NewPCG(1, 2))
+	qs := make([]*quota.Limiter, n)
+	for i := range qs {
+		qs[i] = quota.New(pool.Hash, window)
+		qs[i].Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: rate, Burst: burst}})
+		qs[i].SetFronts(0, n, n)
+	}
+	var recent []float64
+	for now := time.Duration(0); now < 4*window; now += step {
+		recent = append(recent, 0)
+		for i, q := range qs {
+			// Each front is asked for twice its part of the allowance.
+			for range 2 * int(rate*step.Seconds()/n/cost+r.Float64()) {
+				if _, ok := q.Take(now, "w", cost); ok {
+					recent[len(recent)-1] += cost
+				}
+			}
+			if (now+time.Duration(i)*step)%(250*time.Millisecond) != 0 {
+				continue
+			}
+			u := quota.Report{Incarnation: 1, Started: now < 5*time.Second, Continuous: true, Uses: q.Uses(now)}
+			for _, j := range r.Perm(n)[:recipients] {
+				if j != i {
+					qs[j].Observe(now, fmt.Sprint(i), u)
+				}
+			}
+		}
+	}
+	allowance := rate*window.Seconds() + burst
+	if m := maxSum(recent, int(window/step)); m > 1.25*allowance || m < 0.8*allowance {
+		t.Errorf("used %.0f in a window, want 0.8 to 1.25 times the allowance of %.0f", m, allowance)
+	}
+}
--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -134,6 +134,7 @@
 		DirectoryAgeMs: uint32(s.roster.Age(now).Milliseconds()),
 		Leaving:        f.stopping.Load(),
 		Peers:          s.peers.Sample(now, s.random),
+		Sightings:      encodeSightings(s.peers.Sightings(now, s.random)),
 	}
 	for _, u := range s.pool.Uses(now) {
 		m.Uses = append(m.Uses, &wire.TargetUse{
@@ -175,6 +176,7 @@
 		}) {
 			return
 		}
+		s.peers.Hear(now, decodeSightings(m.Sightings))
 		if !s.reachable[m.Peer] {
 			s.reachable[m.Peer] = true
 			f.telem.Log.Info("dependency regained", "dependency", "peer", "peer", m.Peer, "incarnation", m.Incarnation, "plan", m.Plan)
@@ -200,7 +202,9 @@
 	for _, w := range m.Workspaces {
 		ws[w.Workspace] = quota.Use{Used: w.Used, Level: w.Level}
 	}
-	s.quota.Observe(now, m.Peer, m.Incarnation, m.Sequence <= newPeerHeartbeats, ws)
+	s.quota.Observe(now, m.Peer, quota.Report{
+		Incarnation: m.Incarnation, Started: m.Sequence <= newPeerHeartbeats, Continuous: s.peers.Continuous(m.Peer), Uses: ws,
+	})
 	d := sched.Report{Waiting: map[sched.WaitKey]int{}, Demand: map[uint32]float64{}}
 	for _, w := range m.Waits {
 		p := queue.Priority{TierRank: int(w.Rank), Late: w.Late, RouteRank: int(w.RouteRank)}
--- a/io/gossip/parse_test.go
+++ b/io/gossip/parse_test.go
@@ -44,7 +44,7 @@
 		for _, w := range m.Workspaces {
 			us[w.Workspace] = quota.Use{Used: w.Used, Level: w.Level}
 		}
-		q.Observe(time.Second, m.Peer, m.Incarnation, false, us)
+		q.Observe(time.Second, m.Peer, quota.Report{Incarnation: m.Incarnation, Continuous: true, Uses: us})
 		if l := q.State(time.Second, "w").Level; math.IsNaN(l) || l > 100 {
 			t.Errorf("got level %v, want a number of at most 100", l)
 		}
