--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -9,7 +9,8 @@
 // are dropped some time after their last use, and are lost if the front and all keepers are.
 //
 // Without a record the origin is still certain if targets of only one version have been
-// listed for as long as records are kept. Otherwise the stream can't go on.
+// listed since the stream began, or for as long as records are kept if it isn't known when it
+// began. Otherwise the stream can't go on.
 //
 // # Usage
 //
@@ -18,7 +19,7 @@
 //	t.Add(now, origin.ID("attempt-1"), origin.Origin{Service: "chat", Version: "v1"})
 //	for _, s := range t.Unreported() { ... }
 //	o, ok := t.Find(now, origin.ID("attempt-1"))
-//	v, ok := t.Only(now, "chat")
+//	v, ok := t.Only(now, "chat", 8*time.Second)
 package origin
 
 import (
@@ -184,16 +185,17 @@
 	}
 }
 
-// Only returns the version of a service if targets of no other one have been listed for as
-// long as records are kept.
-func (t *Table) Only(now time.Duration, name string) (string, bool) {
+// Only returns the version of a service if targets of no other one have been listed lately: for
+// as long as the stream can have begun ago, or as records are kept if that is shorter.
+func (t *Table) Only(now time.Duration, name string, begun time.Duration) (string, bool) {
+	begun = min(begun, t.keep)
 	s := t.services[name]
-	if s == nil || now-s.since < t.keep {
+	if s == nil || now-s.since < begun {
 		return "", false
 	}
 	only, n := "", 0
 	for v, e := range s.versions {
-		if e.listed || now-e.last <= t.keep {
+		if e.listed || now-e.last <= begun {
 			only = v
 			n++
 		}
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -67,20 +68,31 @@
 		do   func(*origin.Table)
 		now  time.Duration
 		want bool
+		// begun is how long ago the stream can have begun; 0 if it isn't known.
+		begun time.Duration
 	}{
-		{"just started", func(b *origin.Table) { b.SetVersions(0, one) }, 29 * s, false},
-		{"one for long", func(b *origin.Table) { b.SetVersions(0, one); b.SetVersions(10*s, one) }, 31 * s, true},
-		{"two", func(b *origin.Table) { b.SetVersions(0, two) }, 40 * s, false},
-		{"two lately", func(b *origin.Table) { b.SetVersions(0, two); b.SetVersions(10*s, one) }, 39 * s, false},
-		{"two long ago", func(b *origin.Table) { b.SetVersions(0, two); b.SetVersions(10*s, one) }, 41 * s, true},
-		{"none listed now", func(b *origin.Table) { b.SetVersions(0, one); b.SetVersions(20*s, nil) }, 40 * s, true},
-		{"list interrupted", func(b *origin.Table) { b.SetVersions(0, one); b.Interrupt(20 * s) }, 40 * s, false},
-		{"unknown version", func(b *origin.Table) { b.SetVersions(0, map[string][]string{"chat": {""}}) }, 40 * s, false},
-		{"longer streams", func(b *origin.Table) { b.SetKeep(60 * s); b.SetVersions(0, one) }, 40 * s, false},
+		{"just started", func(b *origin.Table) { b.SetVersions(0, one) }, 29 * s, false, 0},
+		{"one for long", func(b *origin.Table) { b.SetVersions(0, one); b.SetVersions(10*s, one) }, 31 * s, true, 0},
+		{"two", func(b *origin.Table) { b.SetVersions(0, two) }, 40 * s, false, 0},
+		{"two lately", func(b *origin.Table) { b.SetVersions(0, two); b.SetVersions(10*s, one) }, 39 * s, false, 0},
+		{"two long ago", func(b *origin.Table) { b.SetVersions(0, two); b.SetVersions(10*s, one) }, 41 * s, true, 0},
+		{"none listed now", func(b *origin.Table) { b.SetVersions(0, one); b.SetVersions(20*s, nil) }, 40 * s, true, 0},
+		{"list interrupted", func(b *origin.Table) { b.SetVersions(0, one); b.Interrupt(20 * s) }, 40 * s, false, 0},
+		{"unknown version", func(b *origin.Table) { b.SetVersions(0, map[string][]string{"chat": {""}}) }, 40 * s, false, 0},
+		{"longer streams", func(b *origin.Table) { b.SetKeep(60 * s); b.SetVersions(0, one) }, 40 * s, false, 0},
+		{"began before the list was known", func(b *origin.Table) { b.SetVersions(0, one) }, 9 * s, false, 10 * s},
+		{"began since the list is known", func(b *origin.Table) { b.SetVersions(0, one) }, 11 * s, true, 10 * s},
+		{"began before an interruption", func(b *origin.Table) { b.SetVersions(0, one); b.Interrupt(20 * s) }, 29 * s, false, 10 * s},
+		{"began beside another version", func(b *origin.Table) { b.SetVersions(0, two); b.SetVersions(10*s, one) }, 19 * s, false, 10 * s},
+		{"began after another version", func(b *origin.Table) { b.SetVersions(0, two); b.SetVersions(10*s, one) }, 21 * s, true, 10 * s},
+		{"began long ago", func(b *origin.Table) { b.SetVersions(0, one) }, 31 * s, true, 99 * s},
 	} {
 		b := origin.New()
 		c.do(b)
-		if v, ok := b.Only(c.now, "chat"); ok != c.want || ok && v != "v1" {
+		if c.begun == 0 {
+			c.begun = math.MaxInt64
+		}
+		if v, ok := b.Only(c.now, "chat", c.begun); ok != c.want || ok && v != "v1" {
 			t.Errorf("%s: got %q, %v, want %v", c.name, v, ok, c.want)
 		}
 	}
--- a/core/spent/spent.go
+++ b/core/spent/spent.go
@@ -11,6 +11,7 @@
 //
 //	e := spent.New()
 //	d := e.Estimate(now, "route", 11200*time.Millisecond)
+//	m := e.Longest("route")
 package spent
 
 import "time"
@@ -60,3 +61,12 @@
 	}
 	return m - wait
 }
+
+// Longest returns the longest wait that was seen lately on a route; 0 if none was.
+func (e *Estimator) Longest(route string) time.Duration {
+	l := e.routes[route]
+	if l == nil {
+		return 0
+	}
+	return max(l.current, l.previous)
+}
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"kingcupstand/core/origin"
 	"kingcupstand/core/plan"
 	"kingcupstand/core/share"
@@ -21,6 +24,9 @@
 	// versionRetry is the Retry-After if no target of the version is left. A target that has
 	// crashed starts again with its version within a few seconds.
 	versionRetry = 2 * time.Second
+	// begunSlack is added to the time that a resumed stream can have begun ago, for what a
+	// request is on its way and for differences between callers' clocks.
+	begunSlack = time.Second
 	// maxListAge is the age of the target list from which versions may have been listed that
 	// this front has not seen. Some fronts confirm their lists every 4 s.
 	maxListAge = 5 * time.Second
@@ -45,6 +51,9 @@
 	if len(q.route.Services()) == 1 {
 		r.Service = q.service
 	}
+	if d, ok := q.begunAgo(); ok {
+		r.BegunMs = proto.Uint32(uint32(d.Milliseconds()))
+	}
 	o := actor.Ask(q.front.loop, func(now time.Duration, s *state) origin.Origin { return s.findOrigin(now, r) })
 	if o.Version == "" {
 		o = q.front.askOrigin(ctx, r)
@@ -65,13 +74,29 @@
 	return 0, "", 0
 }
 
+// begunAgo returns how long ago the stream that the caller resumes can have begun at most: callers
+// count the time that they will still wait from their first attempt, for which they wait as long
+// as the route allows, or longer if this front has seen that. It reports false if the caller
+// doesn't say how long it will wait.
+func (q *request) begunAgo() (time.Duration, bool) {
+	if q.call.Timeout <= 0 || q.route.Timeout <= 0 {
+		return 0, false
+	}
+	longest := actor.Ask(q.front.loop, func(_ time.Duration, s *state) time.Duration { return s.spent.Longest(q.route.Name) })
+	return max(longest, q.route.Timeout, q.call.Timeout) - q.call.Timeout + begunSlack, true
+}
+
 // findOrigin returns what this front knows of the origin of a stream: its record, or the only
 // version that the stream can have begun at. It returns the zero Origin if it knows neither.
 func (s *state) findOrigin(now time.Duration, r *wire.OriginRequest) origin.Origin {
 	if o, ok := s.origins.Find(now, r.Stream); ok && r.Stream != 0 {
 		return o
 	}
-	if v, ok := s.origins.Only(now, r.Service); ok {
+	begun := time.Duration(math.MaxInt64)
+	if r.BegunMs != nil {
+		begun = time.Duration(r.GetBegunMs()) * time.Millisecond
+	}
+	if v, ok := s.origins.Only(now, r.Service, begun); ok {
 		return origin.Origin{Service: r.Service, Version: v}
 	}
 	return origin.Origin{}
--- a/io/front/origin_test.go
+++ b/io/front/origin_test.go
@@ -58,7 +58,7 @@
 			s.confirmList(now, &wire.Beat{Directory: c.directory, DirectoryAgeMs: uint32(c.age.Milliseconds())})
 			s.checkList(now)
 		}
-		if _, ok := s.origins.Only(now, "chat"); ok != c.want {
+		if _, ok := s.origins.Only(now, "chat", origin.MinKeep); ok != c.want {
 			t.Errorf("%s: got %v, want %v", c.name, ok, c.want)
 		}
 	}
