--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -245,7 +245,7 @@
 	us := p.peers[peer]
 	for h, u := range us {
 		if t := p.byHash[h]; t != nil {
-			t.peers[peer] = u
+			t.setPeer(peer, u)
 		}
 	}
 }
@@ -474,7 +474,7 @@
 func (p *Pool) RemovePeer(peer string) {
 	for h := range p.peers[peer] {
 		if t := p.byHash[h]; t != nil {
-			delete(t.peers, peer)
+			t.removePeer(peer)
 		}
 	}
 	delete(p.peers, peer)
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -74,8 +74,9 @@
 // target is the state of one target.
 type target struct {
 	Target
-	// peers holds what each peer has in flight here.
-	peers map[string]Use
+	// peers holds what each peer has in flight here, and elsewhere the sum.
+	peers     map[string]Use
+	elsewhere struct{ running, promptTokens, failing int }
 	// ownRunning is the number of this front's requests in flight, and ownTokens the
 	// prompt tokens of those whose first event has not arrived.
 	ownRunning int
@@ -116,15 +117,33 @@
 	return &target{peers: map[string]Use{}, estimator: e, slowdown: 1, eventGap: defaultEventGap, backoff: minBackoff}
 }
 
-// running returns the number of requests in flight from all fronts.
-func (t *target) running() int {
-	n := t.ownRunning
-	for _, u := range t.peers {
-		n += u.Running
+// setPeer replaces what a peer has in flight here.
+func (t *target) setPeer(peer string, u Use) {
+	t.removePeer(peer)
+	t.peers[peer] = u
+	t.addElsewhere(u, 1)
+}
+
+// removePeer discards what a peer has in flight here.
+func (t *target) removePeer(peer string) {
+	if u, ok := t.peers[peer]; ok {
+		delete(t.peers, peer)
+		t.addElsewhere(u, -1)
+	}
+}
+
+// addElsewhere adds a use to the sum of the peers, or takes it off if sign is -1.
+func (t *target) addElsewhere(u Use, sign int) {
+	t.elsewhere.running += sign * u.Running
+	t.elsewhere.promptTokens += sign * u.PromptTokens
+	if u.Failing {
+		t.elsewhere.failing += sign
 	}
-	return n
 }
 
+// running returns the number of requests in flight from all fronts.
+func (t *target) running() int { return t.ownRunning + t.elsewhere.running }
+
 // places returns the number of requests that may be in flight.
 func (t *target) places() int {
 	if t.Engine {
@@ -185,22 +204,13 @@
 	if t.backoff > minBackoff {
 		return true
 	}
-	for _, u := range t.peers {
-		if u.Failing && t.ownRunning > 0 {
-			return false
-		}
-	}
-	return true
+	return t.elsewhere.failing == 0 || t.ownRunning == 0
 }
 
 // prefillTokens returns the number of prompt tokens that are prefilled before the
 // response to a prompt begins, those of the prompt included.
 func (t *target) prefillTokens(prompt int) int {
-	n := prompt + t.ownTokens
-	for _, u := range t.peers {
-		n += u.PromptTokens
-	}
-	return n
+	return prompt + t.ownTokens + t.elsewhere.promptTokens
 }
 
 // currentSlowdown returns the slowdown, which decays to 1 while there are no responses:
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -143,13 +143,15 @@
 	random *rand.Rand
 	queues map[string]*serviceQueue[T]
 	peers  map[string]Report
+	// waiting is the sum of what the peers have reported to be queued.
+	waiting map[uint32]map[queue.Priority]int
 	// fronts is the number of live fronts, and total that of all that may be serving.
 	fronts, total int
 }
 
 // New returns a Scheduler that dispatches to the targets of a pool.
 func New[T any](p *pool.Pool, r *rand.Rand) *Scheduler[T] {
-	return &Scheduler[T]{pool: p, random: r, queues: map[string]*serviceQueue[T]{}, peers: map[string]Report{}, fronts: 1, total: 1}
+	return &Scheduler[T]{pool: p, random: r, queues: map[string]*serviceQueue[T]{}, peers: map[string]Report{}, waiting: map[uint32]map[queue.Priority]int{}, fronts: 1, total: 1}
 }
 
 // Services returns the sorted names of the services that have had requests.
@@ -265,12 +267,10 @@
 // mayDispatch reports whether a free slot remains for a request of priority p once all
 // requests that wait at peers with a higher priority have got one.
 func (s *Scheduler[T]) mayDispatch(now time.Duration, service string, p queue.Priority) bool {
-	h, n := pool.Hash(service), 0
-	for _, r := range s.peers {
-		for w, k := range r.Waiting {
-			if w.Service == h && w.Priority.Before(p) {
-				n += k
-			}
+	n := 0
+	for w, k := range s.waiting[pool.Hash(service)] {
+		if w.Before(p) {
+			n += k
 		}
 	}
 	return n == 0 || s.pool.FreeSlots(now, service) > n
@@ -309,10 +309,34 @@
 
 // SetPeer replaces the report of a peer. The scheduler keeps r, which the caller must not
 // change afterwards.
-func (s *Scheduler[T]) SetPeer(peer string, r Report) { s.peers[peer] = r }
+func (s *Scheduler[T]) SetPeer(peer string, r Report) {
+	s.RemovePeer(peer)
+	s.peers[peer] = r
+	s.addWaiting(r, 1)
+}
 
 // RemovePeer discards the report of a peer whose heartbeats have stopped.
-func (s *Scheduler[T]) RemovePeer(peer string) { delete(s.peers, peer) }
+func (s *Scheduler[T]) RemovePeer(peer string) {
+	s.addWaiting(s.peers[peer], -1)
+	delete(s.peers, peer)
+}
+
+// addWaiting adds the queues of a report to the sum, or takes them off if sign is -1.
+func (s *Scheduler[T]) addWaiting(r Report, sign int) {
+	for w, n := range r.Waiting {
+		m := s.waiting[w.Service]
+		if m == nil {
+			m = map[queue.Priority]int{}
+			s.waiting[w.Service] = m
+		}
+		if m[w.Priority] += sign * n; m[w.Priority] == 0 {
+			delete(m, w.Priority)
+		}
+		if len(m) == 0 {
+			delete(s.waiting, w.Service)
+		}
+	}
+}
 
 // SetFronts sets the number of live fronts and the total of those that may be serving, this
 // one included in both.
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -40,6 +40,13 @@
 // front without demand owns a few slots for its next requests.
 const minWeight = 0.25
 
+// candidate is a front with what its scores are computed from.
+type candidate struct {
+	name   string
+	hash   uint64
+	weight float64
+}
+
 // Assigned returns the number of slots that are assigned to the front self, by target
 // ID. Targets without any are left out. The fronts fs include self, in any order.
 func Assigned(self string, fs []Front, ts []Target) map[string]int {
@@ -48,10 +55,15 @@
 		sum += f.Weight
 	}
 	least := max(minWeight*sum/float64(max(1, len(fs))), 1e-9)
+	cs := make([]candidate, 0, len(fs))
+	for _, f := range fs {
+		cs = append(cs, candidate{f.Name, xxhash.Sum64String(f.Name), max(f.Weight, least)})
+	}
 	m := make(map[string]int, len(ts))
 	for _, t := range ts {
+		h := xxhash.Sum64String(t.ID)
 		for n := range t.Slots {
-			if owner(fs, least, t.ID, n) == self {
+			if owner(cs, h+uint64(n)*0x9e3779b97f4a7c15) == self {
 				m[t.ID]++
 			}
 		}
@@ -59,15 +71,18 @@
 	return m
 }
 
-// owner returns the name of the front that owns a slot: the one with the highest score.
-// Least is the smallest weight that is used.
-func owner(fs []Front, least float64, target string, slot int) string {
+// owner returns the name of the front that owns the slot with a hash: the one with the highest
+// score. The logarithm is only computed for scores that may be the highest: -log(u) is at least
+// 1-u.
+func owner(cs []candidate, h uint64) string {
 	best, name := math.Inf(-1), ""
-	h := xxhash.Sum64String(target) + uint64(slot)*0x9e3779b97f4a7c15
-	for _, f := range fs {
-		u := (float64(mix(h^xxhash.Sum64String(f.Name))>>11) + 0.5) / (1 << 53)
-		if s := -max(f.Weight, least) / math.Log(u); s > best || (s == best && f.Name < name) {
-			best, name = s, f.Name
+	for _, c := range cs {
+		u := (float64(mix(h^c.hash)>>11) + 0.5) / (1 << 53)
+		if c.weight < best*(1-u) {
+			continue
+		}
+		if s := -c.weight / math.Log(u); s > best || (s == best && c.name < name) {
+			best, name = s, c.name
 		}
 	}
 	return name
