--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -16,7 +16,7 @@
 //
 // # Usage
 //
-//	t := peers.New("192.0.2.1:7600", seeds)
+//	t := peers.New("192.0.2.1:7600", dataCentre, seeds)
 //	fresh := t.Observe(now, peers.Heartbeat{Peer: "192.0.2.7:7600", Incarnation: 3, Sequence: 41})
 //	t.Hear(now, sightings)
 //	for _, a := range t.Recipients(random, nil) { send(a, heartbeat, t.Sightings(now, random)) }
@@ -57,6 +57,8 @@
 	// recipients is the largest number of peers that one heartbeat is sent to, so that
 	// a front's cost doesn't grow with the number of fronts.
 	recipients = 24
+	// minFar is the least number of recipients in other data centres.
+	minFar = 12
 	// sampled is the largest number of peer addresses that a heartbeat carries.
 	sampled = 4
 )
@@ -73,6 +75,8 @@
 	// Plan and Directory are the revisions that the peer holds.
 	Plan      uint64
 	Directory uint64
+	// DataCentre is the hash of the peer's data centre; 0 if it is unknown.
+	DataCentre uint32
 	// Leaving is true if the peer is shutting down.
 	Leaving bool
 	// Peers are addresses of other peers that are live at the sender.
@@ -104,9 +108,10 @@
 
 // Table is one front's membership table. It is not safe for concurrent use.
 type Table struct {
-	self  string
-	seeds []string
-	peers map[string]*peer
+	self       string
+	dataCentre uint32
+	seeds      []string
+	peers      map[string]*peer
 	// byHash holds the peers by Hash of their address, and order the same in any order.
 	byHash map[uint32]*peer
 	order  []*peer
@@ -128,10 +133,10 @@
 	return t.alive(now, e) || !e.sign.leaving && e.heard(now, ServingFor)
 }
 
-// New returns the table of a front with the address self that has received no
-// heartbeat yet.
-func New(self string, seeds []string) *Table {
-	t := &Table{self: self, peers: map[string]*peer{}, byHash: map[uint32]*peer{}}
+// New returns the table of a front with the address self and the hash of its data centre that
+// has received no heartbeat yet.
+func New(self string, dataCentre uint32, seeds []string) *Table {
+	t := &Table{self: self, dataCentre: dataCentre, peers: map[string]*peer{}, byHash: map[uint32]*peer{}}
 	for _, s := range seeds {
 		if s != self {
 			t.seeds = append(t.seeds, s)
@@ -239,9 +244,47 @@
 	return n
 }
 
+// Regional reports whether there are more live fronts than a heartbeat reaches, in several data
+// centres. The fronts of one data centre then exchange heartbeats more often than others.
+func (t *Table) Regional(now time.Duration) bool {
+	live, elsewhere := 1, 0
+	for _, e := range t.peers {
+		if !t.alive(now, e) {
+			continue
+		}
+		live++
+		if e.last.DataCentre != t.dataCentre {
+			elsewhere++
+		}
+	}
+	return live > recipients+1 && elsewhere > 0 && live > elsewhere+1
+}
+
+// Near returns the sorted addresses of the live peers in this front's data centre.
+func (t *Table) Near(now time.Duration) []string {
+	var as []string
+	for a, e := range t.peers {
+		if e.known && e.last.DataCentre == t.dataCentre && t.alive(now, e) {
+			as = append(as, a)
+		}
+	}
+	sort.Strings(as)
+	return as
+}
+
 // Recipients returns the addresses that the next heartbeat is sent to besides the given ones:
-// a random selection of the known peers, live or not, and of the seeds.
-func (t *Table) Recipients(r *rand.Rand, besides map[string]bool) []string {
+// a random selection of the known peers, live or not, and of the seeds. The peers near this
+// front, which get heartbeats of their own, are left out.
+func (t *Table) Recipients(r *rand.Rand, near []string, besides map[string]bool) []string {
+	n := recipients
+	if len(near) > 0 {
+		n = max(minFar, recipients-len(near))
+	}
+	for a := range besides {
+		if !slices.Contains(near, a) {
+			n--
+		}
+	}
 	var as []string
 	for a := range t.peers {
 		as = append(as, a)
@@ -251,10 +294,22 @@
 			as = append(as, s)
 		}
 	}
-	as = slices.DeleteFunc(as, func(a string) bool { return besides[a] })
+	as = slices.DeleteFunc(as, func(a string) bool { return besides[a] || slices.Contains(near, a) })
+	return random(r, as, n)
+}
+
+// NearRecipients returns the peers near this front that the next heartbeat is sent to besides the
+// given ones.
+func (t *Table) NearRecipients(r *rand.Rand, near []string, besides map[string]bool) []string {
+	as := slices.DeleteFunc(slices.Clone(near), func(a string) bool { return besides[a] })
+	return random(r, as, recipients)
+}
+
+// random returns a random selection of at most n addresses. It sorts and shuffles as.
+func random(r *rand.Rand, as []string, n int) []string {
 	sort.Strings(as)
 	r.Shuffle(len(as), func(i, j int) { as[i], as[j] = as[j], as[i] })
-	return as[:min(len(as), max(0, recipients-len(besides)))]
+	return as[:max(0, min(len(as), n))]
 }
 
 // Serving returns the sorted addresses of the peers that may be serving, live or not. In a
--- a/core/peers/peers_test.go
+++ b/core/peers/peers_test.go
@@ -19,13 +19,13 @@
 	ps := map[string]*peers.Table{}
 	name := func(i int) string { return fmt.Sprintf("192.0.2.%d:7600", i) }
 	for i := range n {
-		ps[name(i)] = peers.New(name(i), []string{name(0), "198.51.100.1:7600"})
+		ps[name(i)] = peers.New(name(i), 0, []string{name(0), "198.51.100.1:7600"})
 	}
 	for round := range 20 {
 		now := time.Duration(round) * 250 * time.Millisecond
 		for a, p := range ps {
 			b := peers.Heartbeat{Peer: a, Incarnation: 1, Sequence: uint64(round + 1), Peers: p.Sample(now, r)}
-			for _, to := range p.Recipients(r, nil) {
+			for _, to := range p.Recipients(r, nil, nil) {
 				if o := ps[to]; o != nil {
 					o.Observe(now, b)
 				}
@@ -40,7 +40,7 @@
 }
 
 func TestCountIncludesPeersBehindPartition(t *testing.T) {
-	p := peers.New("self", nil)
+	p := peers.New("self", 0, nil)
 	p.Observe(0, peers.Heartbeat{Peer: "a", Incarnation: 1, Sequence: 1})
 	p.Observe(0, peers.Heartbeat{Peer: "b", Incarnation: 1, Sequence: 1, Leaving: true})
 	for _, c := range []struct {
@@ -58,7 +58,7 @@
 }
 
 func TestHeartbeatsOutOfOrderAreRejected(t *testing.T) {
-	p := peers.New("self", nil)
+	p := peers.New("self", 0, nil)
 	for _, c := range []struct {
 		now                   time.Duration
 		incarnation, sequence uint64
@@ -84,7 +84,7 @@
 
 func TestNewerReturnsLivePeerWithNewerRevision(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 2))
-	p := peers.New("self", nil)
+	p := peers.New("self", 0, nil)
 	p.Observe(0, peers.Heartbeat{Peer: "a", Incarnation: 1, Sequence: 1, Plan: 7, Directory: 3})
 	if a, ok := p.Newer(0, 6, 3, r); !ok || a != "a" {
 		t.Errorf("newer plan: got %q, %v, want peer a", a, ok)
@@ -101,7 +101,7 @@
 // small instance must not be asked by all fronts at once. The choice therefore varies.
 func TestNewerVariesThePeer(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 2))
-	p := peers.New("self", nil)
+	p := peers.New("self", 0, nil)
 	for _, a := range []string{"a", "b", "c"} {
 		p.Observe(0, peers.Heartbeat{Peer: a, Incarnation: 1, Sequence: 1, Plan: 7})
 	}
@@ -119,7 +119,7 @@
 // On each side of a partition, the live fronts are numbered from 0, so that each side has
 // primary watchers.
 func TestPositionCountsLivePeersOnly(t *testing.T) {
-	p := peers.New("b", nil)
+	p := peers.New("b", 0, nil)
 	for _, a := range []string{"a", "c", "d"} {
 		p.Observe(0, peers.Heartbeat{Peer: a, Incarnation: 1, Sequence: 1})
 	}
@@ -133,12 +133,12 @@
 
 // Peers that get the heartbeat anyway take the place of others, so that its cost is bounded.
 func TestRecipientsAreBounded(t *testing.T) {
-	p := peers.New("self", nil)
+	p := peers.New("self", 0, nil)
 	for i := range 100 {
 		p.Observe(0, peers.Heartbeat{Peer: fmt.Sprint(i), Sequence: 1})
 	}
 	besides := map[string]bool{"1": true, "2": true, "3": true}
-	as := p.Recipients(rand.New(rand.NewPCG(1, 2)), besides)
+	as := p.Recipients(rand.New(rand.NewPCG(1, 2)), nil, besides)
 	if len(as) != 24-len(besides) {
 		t.Errorf("got %d recipients, want 21", len(as))
 	}
@@ -163,7 +163,7 @@
 	for i := range n {
 		names[i] = fmt.Sprintf("192.0.2.%d:%d", i%250, i)
 		index[names[i]] = i
-		ps[i] = peers.New(names[i], nil)
+		ps[i] = peers.New(names[i], 0, nil)
 	}
 	for i, p := range ps {
 		for j := range 24 {
@@ -174,7 +174,7 @@
 		now := time.Duration(round) * interval
 		for i, p := range ps {
 			b := peers.Heartbeat{Peer: names[i], Sequence: uint64(round + 2), Peers: p.Sample(now, r)}
-			for _, to := range p.Recipients(r, nil) {
+			for _, to := range p.Recipients(r, nil, nil) {
 				ps[index[to]].Observe(now, b)
 			}
 		}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -42,6 +42,11 @@
 // share of a target's free slots as credits, so that all fronts together don't overload a
 // target that has just started or recovered.
 //
+// In a fleet that is too large for a heartbeat to reach all fronts, the slots of an engine belong
+// to the fronts of its data centre, which exchange heartbeats more often; see SetRegional. Other
+// fronts get a share of its free slots less often, prefer near engines, and never send to a far
+// engine that is full.
+//
 // # Limits
 //
 // A target that names a limit gets no more requests a second than that from all fronts
@@ -131,6 +136,7 @@
 // Pool is the set of targets of one front. It is not safe for concurrent use.
 type Pool struct {
 	dataCentre string
+	regional   bool
 	random     *rand.Rand
 	targets    map[string]*target
 	byHash     map[uint32]*target
@@ -174,11 +180,30 @@
 	}
 }
 
-// RefillCredits refills the credits for sending to slots of other fronts. It is called
-// once per round of heartbeats, with the number of live fronts, this one included.
-func (p *Pool) RefillCredits(now time.Duration, fronts int) {
+// DataCentre returns the Hash of this front's data centre.
+func (p *Pool) DataCentre() uint32 { return Hash(p.dataCentre) }
+
+// SetRegional sets whether the fronts of each data centre exchange heartbeats more often than
+// others, so that this front knows the load of near targets better than that of far ones.
+func (p *Pool) SetRegional(regional bool) { p.regional = regional }
+
+// far reports whether the load of a target is known less well because it is in another data
+// centre.
+func (p *Pool) far(t *target) bool { return p.regional && t.DataCentre != p.dataCentre }
+
+// RefillCredits refills the credits for sending to slots of other fronts, at all targets but the
+// far ones. It is called once per round of heartbeats, with the number of live fronts that take
+// part in it, this one included.
+func (p *Pool) RefillCredits(now time.Duration, fronts int) { p.refill(now, fronts, false) }
+
+// RefillFarCredits is RefillCredits for the far targets.
+func (p *Pool) RefillFarCredits(now time.Duration, fronts int) { p.refill(now, fronts, true) }
+
+func (p *Pool) refill(now time.Duration, fronts int, far bool) {
 	for _, t := range p.targets {
-		t.refillCredits(now, fronts)
+		if p.far(t) == far {
+			t.refillCredits(now, fronts)
+		}
 	}
 }
 
@@ -319,7 +344,7 @@
 		if !c.admits(t) || !t.usable(now) {
 			continue
 		}
-		if !t.hasSlot() && (!c.Oversubscribe || !t.acceptsExtra()) || now < t.fullUntil || !t.limit.Allows(now) || !t.suits(now, c, f) {
+		if !t.hasSlot() && (!c.Oversubscribe || p.far(t) || !t.acceptsExtra()) || now < t.fullUntil || !t.limit.Allows(now) || !t.suits(now, c, f) {
 			err = ErrFull
 			continue
 		}
@@ -391,6 +416,8 @@
 	outputWeight = 0.1
 	// crossDataCentreRTT is the round-trip time to another data centre.
 	crossDataCentreRTT = 2 * time.Millisecond
+	// farPenalty is added for a far target, whose load may be a second old.
+	farPenalty = 28 * time.Millisecond
 )
 
 // score returns the predicted time to the first byte, weighted by the load, the failure
@@ -400,6 +427,9 @@
 	if t.DataCentre != p.dataCentre {
 		s += float64(crossDataCentreRTT)
 	}
+	if p.far(t) {
+		s += float64(farPenalty)
+	}
 	if t.Engine {
 		// A larger batch slows down every token and leaves less room for long prompts.
 		s += float64(t.eventGap)*float64(t.running()) + outputWeight*float64(t.predictOutput(c.Events))
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -145,13 +145,17 @@
 	peers  map[string]Report
 	// waiting is the sum of what the peers have reported to be queued.
 	waiting map[uint32]map[queue.Priority]int
+	// dataCentre is the hash of this front's data centre. regional is true if the slots of a
+	// data centre's engines belong to its own fronts.
+	dataCentre uint32
+	regional   bool
 	// fronts is the number of live fronts, and total that of all that may be serving.
 	fronts, total int
 }
 
 // New returns a Scheduler that dispatches to the targets of a pool.
 func New[T any](p *pool.Pool, r *rand.Rand) *Scheduler[T] {
-	return &Scheduler[T]{pool: p, random: r, queues: map[string]*serviceQueue[T]{}, peers: map[string]Report{}, waiting: map[uint32]map[queue.Priority]int{}, fronts: 1, total: 1}
+	return &Scheduler[T]{pool: p, dataCentre: p.DataCentre(), random: r, queues: map[string]*serviceQueue[T]{}, peers: map[string]Report{}, waiting: map[uint32]map[queue.Priority]int{}, fronts: 1, total: 1}
 }
 
 // Services returns the sorted names of the services that have had requests.
@@ -288,6 +292,8 @@
 
 // Report is the state of a front's queues that it sends to its peers.
 type Report struct {
+	// DataCentre is the hash of the front's data centre; 0 if it is unknown.
+	DataCentre uint32
 	// Waiting is the number of queued requests by service and priority, and Demand the
 	// recent number of requests per second by the hash of the service's name.
 	Waiting map[WaitKey]int
@@ -296,7 +302,7 @@
 
 // Report returns the report for this front's peers.
 func (s *Scheduler[T]) Report(now time.Duration) Report {
-	r := Report{Waiting: map[WaitKey]int{}, Demand: map[uint32]float64{}}
+	r := Report{DataCentre: s.dataCentre, Waiting: map[WaitKey]int{}, Demand: map[uint32]float64{}}
 	for name, q := range s.queues {
 		h := pool.Hash(name)
 		r.Demand[h] = q.demandAt(now)
@@ -344,16 +350,28 @@
 	s.fronts, s.total = max(1, live), max(1, live, total)
 }
 
+// SetRegional sets whether the slots of a data centre's engines belong to its own fronts; see
+// pool.Pool.SetRegional.
+func (s *Scheduler[T]) SetRegional(regional bool) {
+	s.regional = regional
+	s.pool.SetRegional(regional)
+}
+
 // AssignSlots recomputes how many slots of each engine this front owns and how many units of
 // each limit that a target names, from its own demand and the demand that its peers have
 // reported, and passes the numbers to the pool. Self is this front's name among the peers.
 func (s *Scheduler[T]) AssignSlots(now time.Duration, self string) {
 	slots, units := map[string]int{}, map[string]int{}
 	for name, q := range s.queues {
-		var es, ls []share.Target
+		es := map[uint32][]share.Target{} // engines by data centre, or all under 0
+		var ls []share.Target
 		for _, t := range s.pool.Targets(name) {
 			if t.Engine {
-				es = append(es, share.Target{ID: t.ID, Slots: t.Slots})
+				d := uint32(0)
+				if s.regional {
+					d = pool.Hash(t.DataCentre)
+				}
+				es[d] = append(es[d], share.Target{ID: t.ID, Slots: t.Slots})
 			}
 		}
 		for _, l := range s.pool.Limited(name) {
@@ -363,10 +381,19 @@
 			continue
 		}
 		fs := []share.Front{{Name: self, Weight: q.demandAt(now)}}
+		by := map[uint32][]share.Front{s.dataCentre: fs[:1:1]}
 		for a, r := range s.peers {
-			fs = append(fs, share.Front{Name: a, Weight: r.Demand[pool.Hash(name)]})
+			f := share.Front{Name: a, Weight: r.Demand[pool.Hash(name)]}
+			fs = append(fs, f)
+			by[r.DataCentre] = append(by[r.DataCentre], f)
+		}
+		for d, ts := range es {
+			near := by[d]
+			if !s.regional || len(near) == 0 {
+				near = fs
+			}
+			maps.Copy(slots, share.Assigned(self, near, ts))
 		}
-		maps.Copy(slots, share.Assigned(self, fs, es))
 		maps.Copy(units, share.Assigned(self, fs, ls))
 	}
 	s.pool.SetOwnSlots(slots)
--- a/internal/bench/front.go
+++ b/internal/bench/front.go
@@ -25,6 +25,8 @@
 const (
 	heartbeatInterval = 50 * time.Millisecond
 	heartbeatPerFront = 3 * time.Millisecond
+	maxHeartbeat      = 250 * time.Millisecond
+	recipients        = 24
 	assignInterval    = 500 * time.Millisecond
 	// firstByteTimeout is the longest wait for the first byte of a response, or
 	// firstByteFactor times its expected time if that is longer.
@@ -56,10 +58,12 @@
 // front is a simulated front: the scheduler and the target pool of the front process
 // without its connections.
 type front struct {
-	run   *patternRun
-	name  string
-	pool  *pool.Pool
-	sched *sched.Scheduler[*frontAttempt]
+	run    *patternRun
+	name   string
+	zone   string
+	random *rand.Rand
+	pool   *pool.Pool
+	sched  *sched.Scheduler[*frontAttempt]
 	// length estimates the length of responses; each token is an event.
 	length *length.Estimator
 }
@@ -120,20 +124,31 @@
 			// The fronts' heartbeats are spread evenly over the interval.
 			w.after(time.Duration(i)*heartbeatInterval/time.Duration(len(w.fronts)), g.heartbeat)
 			w.after(time.Duration(i)*assignInterval/time.Duration(len(w.fronts)), g.assign)
+			if w.regional() {
+				w.after(time.Duration(i)*heartbeatInterval/time.Duration(len(w.fronts)), g.nearHeartbeat)
+			}
 		}
 	}
 }
 
+// zone returns the data centre of the front or the group of engines with a number.
+func (r Pattern) zone(i int) string {
+	if r.zones < 2 {
+		return ""
+	}
+	return "dc-" + strconv.Itoa(i%r.zones)
+}
+
 func engineName(i int) string { return "engine-" + strconv.Itoa(i) }
 
 // newFront returns front i with all engines as its targets.
 func (w *patternRun) newFront(i int) *front {
 	r := rand.New(rand.NewPCG(uint64(i), 7))
-	g := &front{run: w, name: fmt.Sprintf("front-%d", i), pool: pool.New("", r), length: length.New()}
+	g := &front{run: w, name: fmt.Sprintf("front-%d", i), random: rand.New(rand.NewPCG(uint64(i), 8)), zone: w.pattern.zone(i), pool: pool.New(w.pattern.zone(i), r), length: length.New()}
 	g.sched = sched.New[*frontAttempt](g.pool, r)
 	var ts []pool.Target
 	for i, e := range w.engines {
-		ts = append(ts, pool.Target{ID: engineName(i), Service: service, Slots: e.spec.batch, Engine: true})
+		ts = append(ts, pool.Target{ID: engineName(i), DataCentre: w.pattern.zone(i / 3), Service: service, Slots: e.spec.batch, Engine: true})
 	}
 	g.pool.SetTargets(ts)
 	return g
@@ -314,13 +329,68 @@
 	})
 }
 
+// regional reports whether there are too many fronts for a heartbeat to reach all.
+func (w *patternRun) regional() bool { return w.pattern.zones > 1 && len(w.fronts) > recipients+1 }
+
 // heartbeat sends the requests in flight and the state of the queues to the other fronts,
 // and refills the credits.
 func (g *front) heartbeat() {
+	w := g.run
+	g.tell(g.recipients())
+	n := len(w.fronts)
+	if w.policy == Unassigned {
+		n = 1
+	}
+	if w.regional() {
+		g.pool.RefillFarCredits(w.now, n)
+	} else {
+		g.pool.RefillCredits(w.now, n)
+	}
+	g.dispatch()
+	w.after(min(maxHeartbeat, heartbeatInterval+time.Duration(len(w.fronts))*heartbeatPerFront), g.heartbeat)
+}
+
+// recipients returns the fronts that a heartbeat goes to: all, or a random selection, in which
+// those of the same data centre are left out if they get heartbeats of their own.
+func (g *front) recipients() []*front {
+	w := g.run
+	if len(w.fronts) <= recipients+1 {
+		return w.fronts
+	}
+	var to []*front
+	for _, i := range g.random.Perm(len(w.fronts)) {
+		if o := w.fronts[i]; !w.regional() || o.zone != g.zone {
+			to = append(to, o)
+		}
+	}
+	return to[:recipients-(len(w.fronts)-len(to))+1]
+}
+
+// nearHeartbeat is a heartbeat to the fronts of the same data centre.
+func (g *front) nearHeartbeat() {
+	w := g.run
+	var to []*front
+	for _, o := range w.fronts {
+		if o.zone == g.zone {
+			to = append(to, o)
+		}
+	}
+	g.tell(to)
+	n := len(to)
+	if w.policy == Unassigned {
+		n = 1
+	}
+	g.pool.RefillCredits(w.now, n)
+	g.dispatch()
+	w.after(heartbeatInterval+time.Duration(len(to))*heartbeatPerFront, g.nearHeartbeat)
+}
+
+// tell sends the front's state to others.
+func (g *front) tell(to []*front) {
 	w := g.run
 	us, report := g.pool.Uses(w.now), g.sched.Report(w.now)
 	w.after(networkDelay, func() {
-		for _, o := range w.fronts {
+		for _, o := range to {
 			if o != g {
 				o.pool.SetPeer(g.name, us)
 				o.sched.SetPeer(g.name, report)
@@ -329,19 +399,13 @@
 			}
 		}
 	})
-	n := len(w.fronts)
-	if w.policy == Unassigned {
-		n = 1
-	}
-	g.pool.RefillCredits(w.now, n)
-	g.dispatch()
-	w.after(heartbeatInterval+time.Duration(len(w.fronts))*heartbeatPerFront, g.heartbeat)
 }
 
 // assign recomputes periodically which slots this front owns.
 func (g *front) assign() {
 	w := g.run
 	if w.policy == Fronts {
+		g.sched.SetRegional(w.regional())
 		g.sched.AssignSlots(w.now, g.name)
 	}
 	w.after(assignInterval, g.assign)
--- a/internal/bench/pattern.go
+++ b/internal/bench/pattern.go
@@ -8,7 +8,7 @@
 )
 
 // Pattern is a load pattern for fronts. The fronts know of each other's requests only from
-// heartbeats. A caller that is refused retries once, at a front chosen at random.
+// heartbeats, which reach a bounded number of them. A caller that is refused retries once, at a front chosen at random.
 type Pattern struct {
 	// Name identifies the pattern in results.
 	Name   string
@@ -26,6 +26,8 @@
 	// At crashAt every fourth engine crashes undetected, at slowAt every third becomes three
 	// times as slow; 0 means never.
 	crashAt, slowAt time.Duration
+	// zones is the number of data centres that fronts and engines are spread over; 0 for one.
+	zones int
 }
 
 // requestKind is a kind of request. Its requests have half to twice the given tokens.
@@ -116,6 +118,26 @@
 		r.burstFrom, r.burstTo, r.burstFactor = 8*time.Second, 13*time.Second, 1.8
 	})
 	add("engines-turn-slow-in-a-rush", func(r *Pattern) { r.slowAt = 12 * time.Second })
+	large := func(r *Pattern) {
+		// Many fronts with few requests each: a heartbeat reaches a third of them, and each
+		// hears from a given engine every few seconds.
+		r.kinds = []requestKind{
+			{name: "replan", routeRank: 0, goal: 800 * time.Millisecond, limit: 12 * time.Second, gap: 400 * time.Millisecond, rate: 186, prompt: 6600, output: 320, spread: 0.8, worth: 7, lateWorth: 2},
+			{name: "explain", routeRank: 1, goal: 400 * time.Millisecond, limit: 10 * time.Second, gap: 400 * time.Millisecond, rate: 229, prompt: 640, output: 240, spread: 0.8, worth: 2.2, lateWorth: 0.67},
+			{name: "sort", routeRank: 2, goal: 400 * time.Millisecond, limit: 2500 * time.Millisecond, gap: 400 * time.Millisecond, rate: 345, prompt: 1800, output: 18, spread: 0.8, worth: 0.29, lateWorth: 0.09},
+		}
+		r.fronts, r.zones, r.engines = 68, 6, nil
+		for i := range 117 {
+			d := time.Duration([]float64{0.55, 1, 2.8}[i%3] * float64(3400*time.Microsecond))
+			r.engines = append(r.engines, engineSpec{step: d, prefill: 206, batch: 6, cache: 12_000})
+		}
+		r.length, r.burstFrom, r.burstTo, r.burstFactor = 20*time.Second, 6*time.Second, 12*time.Second, 1.5
+	}
+	add("rush-at-a-large-fleet", large)
+	add("slow-engines-in-a-large-fleet", func(r *Pattern) {
+		large(r)
+		r.slowAt = 9 * time.Second
+	})
 	return rs
 }
 
--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -78,11 +78,7 @@
 	f.meter.peers.Update(float64(live))
 	s.sched.SetFronts(live, all)
 	f.primaryWatcher.Store(s.peers.Position(now) < primaryWatchers)
-	p := minHeartbeatInterval + time.Duration(all)*intervalPerPeer
-	if now-s.creditsRefilled >= p {
-		s.creditsRefilled = now
-		s.pool.RefillCredits(now, live)
-	}
+	near := f.refillCredits(now, s, live, all)
 	if now-s.slotsAssigned >= assignInterval {
 		f.assignSlots(now, s)
 	}
@@ -91,8 +87,66 @@
 	if now-s.loadReported >= loadReportInterval {
 		f.reportLoad(now, s, live, all)
 	}
-	if now-s.heartbeatSent >= maxHeartbeatInterval || (s.changed && now-s.heartbeatSent >= p) {
-		f.sendHeartbeat(now, s)
+	f.sendDue(now, s, near, all)
+}
+
+// heartbeatInterval returns the shortest time between two heartbeats that a number of fronts
+// exchange.
+func heartbeatInterval(fronts int) time.Duration {
+	return minHeartbeatInterval + time.Duration(fronts)*intervalPerPeer
+}
+
+// refillCredits refills the credits for other fronts' slots if a round of heartbeats has passed.
+// It returns the peers of this data centre, which exchange heartbeats more often, or nil if the
+// fleet is small enough for all to do so.
+func (f *Front) refillCredits(now time.Duration, s *state, live, all int) (near []string) {
+	regional := s.peers.Regional(now)
+	s.sched.SetRegional(regional)
+	fronts, p := live, heartbeatInterval(all)
+	if regional {
+		near = s.peers.Near(now)
+		fronts = len(near) + 1
+		if n := heartbeatInterval(fronts); now-s.nearRefilled >= n {
+			s.nearRefilled = now
+			s.pool.RefillCredits(now, fronts)
+		}
+	}
+	if now-s.creditsRefilled >= p {
+		s.creditsRefilled = now
+		if regional {
+			s.pool.RefillFarCredits(now, live)
+		} else {
+			s.pool.RefillCredits(now, fronts)
+		}
+	}
+	return near
+}
+
+// sendDue sends the heartbeats that are due. Peers near this front, if any, get heartbeats of
+// their own. The keepers of streams that have begun get the next one in any case.
+func (f *Front) sendDue(now time.Duration, s *state, near []string, all int) {
+	due := func(sent time.Duration, fronts int) bool {
+		return now-sent >= maxHeartbeatInterval || s.changed && now-sent >= heartbeatInterval(fronts)
+	}
+	nearDue, farDue := near != nil && due(s.nearSent, len(near)+1), due(s.heartbeatSent, all)
+	if !nearDue && !farDue {
+		return
+	}
+	streams, keepers := f.reportOrigins(now, s)
+	var to []string
+	if nearDue {
+		s.nearSent = now
+		to = append(to, s.peers.NearRecipients(s.random, near, keepers)...)
+	}
+	if farDue {
+		s.heartbeatSent = now
+		to = append(to, s.peers.Recipients(s.random, near, keepers)...)
+	}
+	m := f.heartbeat(now, s)
+	f.gossip.Send(m, to)
+	if len(keepers) > 0 {
+		m.Streams = streams
+		f.gossip.Send(m, slices.Collect(maps.Keys(keepers)))
 	}
 }
 
@@ -121,9 +175,9 @@
 	s.sched.AssignSlots(now, f.settings.Peer)
 }
 
-// sendHeartbeat sends this front's state to a random set of peers.
-func (f *Front) sendHeartbeat(now time.Duration, s *state) {
-	s.heartbeatSent, s.changed = now, false
+// heartbeat returns the next heartbeat.
+func (f *Front) heartbeat(now time.Duration, s *state) *wire.Beat {
+	s.changed = false
 	s.sequence++
 	m := &wire.Beat{
 		Peer:           f.settings.Peer,
@@ -132,6 +186,7 @@
 		Plan:           s.plan.Revision(),
 		Directory:      s.roster.Revision(),
 		DirectoryAgeMs: uint32(s.roster.Age(now).Milliseconds()),
+		DataCentre:     s.pool.DataCentre(),
 		Leaving:        f.stopping.Load(),
 		Peers:          s.peers.Sample(now, s.random),
 		Sightings:      encodeSightings(s.peers.Sightings(now, s.random)),
@@ -159,12 +214,7 @@
 			Service: k.Service, Rank: uint32(k.Priority.TierRank), RouteRank: uint32(k.Priority.RouteRank), Late: k.Priority.Late, Count: uint32(n),
 		})
 	}
-	streams, keepers := f.reportOrigins(now, s)
-	f.gossip.Send(m, s.peers.Recipients(s.random, keepers))
-	if len(keepers) > 0 {
-		m.Streams = streams
-		f.gossip.Send(m, slices.Collect(maps.Keys(keepers)))
-	}
+	return m
 }
 
 // receive applies a peer's heartbeat unless it is a duplicate or out of order.
@@ -172,7 +222,7 @@
 	f.loop.Post(func(now time.Duration, s *state) {
 		if !s.peers.Observe(now, peers.Heartbeat{
 			Peer: m.Peer, Incarnation: m.Incarnation, Sequence: m.Sequence,
-			Plan: m.Plan, Directory: m.Directory, Leaving: m.Leaving, Peers: m.Peers,
+			Plan: m.Plan, Directory: m.Directory, DataCentre: m.DataCentre, Leaving: m.Leaving, Peers: m.Peers,
 		}) {
 			return
 		}
@@ -205,7 +255,7 @@
 	s.quota.Observe(now, m.Peer, quota.Report{
 		Incarnation: m.Incarnation, Started: m.Sequence <= newPeerHeartbeats, Continuous: s.peers.Continuous(m.Peer), Uses: ws,
 	})
-	d := sched.Report{Waiting: map[sched.WaitKey]int{}, Demand: map[uint32]float64{}}
+	d := sched.Report{DataCentre: m.DataCentre, Waiting: map[sched.WaitKey]int{}, Demand: map[uint32]float64{}}
 	for _, w := range m.Waits {
 		p := queue.Priority{TierRank: int(w.Rank), Late: w.Late, RouteRank: int(w.RouteRank)}
 		d.Waiting[sched.WaitKey{Service: w.Service, Priority: p}] = int(w.Count)
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -53,8 +53,11 @@
 	newerSince time.Duration
 	// changed is true if something has changed since the last heartbeat.
 	changed bool
-	// heartbeatSent is when the last heartbeat was sent.
-	heartbeatSent time.Duration
+	// heartbeatSent is when the last heartbeat was sent, and nearSent when the last one was sent to
+	// the fronts of this data centre.
+	heartbeatSent, nearSent time.Duration
+	// nearRefilled is creditsRefilled for near targets, if the fleet is regional.
+	nearRefilled time.Duration
 	// reapplyAt is when the next missing target expires.
 	reapplyAt time.Duration
 	// listConfirmed is when a live peer's platform connection last confirmed the target list
@@ -83,7 +86,7 @@
 			Slack:  s.RetrySlack,
 			Window: time.Duration(s.RetryWindowMs) * time.Millisecond,
 		}),
-		peers:     peers.New(s.Peer, s.Seeds),
+		peers:     peers.New(s.Peer, p.DataCentre(), s.Seeds),
 		random:    r,
 		spent:     spent.New(),
 		length:    length.New(),
