--- a/core/peers/fleet_test.go
+++ b/core/peers/fleet_test.go
@@ -76,7 +76,7 @@
 		c.now += step
 		for _, v := range c.sent[c.now] {
 			if t := c.tables[v.to]; t.Observe(c.now, v.beat) {
-				t.Hear(c.now, v.sightings)
+				t.ObserveSightings(c.now, v.sightings)
 			}
 		}
 		delete(c.sent, c.now)
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -18,7 +18,7 @@
 //
 //	t := peers.New("192.0.2.1:7600", dataCentre, seeds)
 //	fresh := t.Observe(now, peers.Heartbeat{Peer: "192.0.2.7:7600", Incarnation: 3, Sequence: 41})
-//	t.Hear(now, sightings)
+//	t.ObserveSightings(now, sightings)
 //	for _, a := range t.Recipients(random, nil) { send(a, heartbeat, t.Sightings(now, random)) }
 //	live, total := t.Count(now)
 package peers
@@ -36,7 +36,7 @@
 	// Heartbeats are sent at least every 250 ms and single datagrams get lost.
 	AliveFor = 1200 * time.Millisecond
 	// MaxAliveFor is the same for a fleet of largeFleet fronts or more, in which it takes
-	// several heartbeats until all fronts have heard of one.
+	// several heartbeats until all fronts know of one.
 	MaxAliveFor = 2500 * time.Millisecond
 	// ServingFor is how long a peer without heartbeats may be serving behind a
 	// partition. It is longer than partitions usually last. After it, the peer counts as
@@ -103,8 +103,8 @@
 	continuous bool
 }
 
-// heard reports whether the last sign of life of the peer is no older than d.
-func (e *peer) heard(now, d time.Duration) bool { return e.sign.known && now-e.sign.at <= d }
+// seenWithin reports whether the last sign of life of the peer is no older than d.
+func (e *peer) seenWithin(now, d time.Duration) bool { return e.sign.known && now-e.sign.at <= d }
 
 // Table is one front's membership table. It is not safe for concurrent use.
 type Table struct {
@@ -126,11 +126,11 @@
 	return AliveFor + time.Duration(min(1, max(0, f))*float64(MaxAliveFor-AliveFor))
 }
 
-func (t *Table) alive(now time.Duration, e *peer) bool { return e.heard(now, t.aliveFor()) }
+func (t *Table) alive(now time.Duration, e *peer) bool { return e.seenWithin(now, t.aliveFor()) }
 
 // serving reports whether a peer may be serving, also behind a partition.
 func (t *Table) serving(now time.Duration, e *peer) bool {
-	return t.alive(now, e) || !e.sign.leaving && e.heard(now, ServingFor)
+	return t.alive(now, e) || !e.sign.leaving && e.seenWithin(now, ServingFor)
 }
 
 // New returns the table of a front with the address self and the hash of its data centre that
@@ -184,7 +184,7 @@
 	return e
 }
 
-// Expire removes the peers of which nothing was heard for EvictAfter. It returns the
+// Expire removes the peers of which no sign of life has come for EvictAfter. It returns the
 // sorted addresses of all peers that have sent heartbeats and are no longer live. A peer
 // is returned by every call until it is removed, not only by the first.
 func (t *Table) Expire(now time.Duration) []string {
--- a/core/peers/sighting.go
+++ b/core/peers/sighting.go
@@ -67,9 +67,9 @@
 	e.sign = s
 }
 
-// Hear records what a peer has passed on of other peers. Sightings of peers that this front
-// has not heard the name of are ignored, as are those too old for a live peer.
-func (t *Table) Hear(now time.Duration, ss []Sighting) {
+// ObserveSightings records what a peer has passed on of other peers. Sightings of peers whose
+// address this front doesn't know are ignored, as are those too old for a live peer.
+func (t *Table) ObserveSightings(now time.Duration, ss []Sighting) {
 	for _, s := range ss {
 		e := t.byHash[s.Peer]
 		if e == nil || s.Age < 0 || s.Age > t.aliveFor() {
@@ -94,7 +94,7 @@
 	for i := 0; i < len(t.order) && len(ss) < n; i++ {
 		j := i + r.IntN(len(t.order)-i)
 		t.order[i], t.order[j] = t.order[j], t.order[i]
-		if e := t.order[i]; e.heard(now, t.aliveFor()/3) {
+		if e := t.order[i]; e.seenWithin(now, t.aliveFor()/3) {
 			ss = append(ss, Sighting{Peer: e.hash, Beat: e.sign.beat, Age: now - e.sign.at, Leaving: e.sign.leaving})
 		}
 	}
--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -85,7 +85,7 @@
 	f.dispatchAll(now, s)
 	f.fetchNewer(now, s)
 	if now-s.loadReported >= loadReportInterval {
-		f.reportLoad(now, s, live, all)
+		f.reportLoad(now, s, live, len(near), all)
 	}
 	f.sendDue(now, s, near, all)
 }
@@ -151,7 +151,7 @@
 }
 
 // reportLoad logs and exports this front's view of the load of each service.
-func (f *Front) reportLoad(now time.Duration, s *state, live, all int) {
+func (f *Front) reportLoad(now time.Duration, s *state, live, near, all int) {
 	s.loadReported = now
 	f.withholdTargets(now, s) // pauses end without an event
 	opened, reused := f.dialer.Counts()
@@ -164,7 +164,7 @@
 		f.meter.recordLoad(name, l, s.sched.Waiting(name), s.budget.Remaining(now, name))
 		f.telem.Log.Info("load", "service", name, "targets", l.Targets, "usable", l.Usable, "slots", l.Slots, "running", l.Running,
 			"own", l.OwnRunning, "own-slots", l.OwnSlots, "waiting", s.sched.Waiting(name), "demand", int(s.sched.Demand(now, name)),
-			"retries-left", int(s.budget.Remaining(now, name)), "fronts-heard", live, "fronts", all,
+			"retries-left", int(s.budget.Remaining(now, name)), "fronts-heard", live, "near", near, "fronts", all,
 			"plan", s.plan.Revision(), "list-age-ms", s.roster.Age(now).Milliseconds())
 	}
 }
@@ -226,7 +226,7 @@
 		}) {
 			return
 		}
-		s.peers.Hear(now, decodeSightings(m.Sightings))
+		s.peers.ObserveSightings(now, decodeSightings(m.Sightings))
 		if !s.reachable[m.Peer] {
 			s.reachable[m.Peer] = true
 			f.telem.Log.Info("dependency regained", "dependency", "peer", "peer", m.Peer, "incarnation", m.Incarnation, "plan", m.Plan)
