--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -60,7 +60,7 @@
 	// minFar is the least number of recipients in other data centres.
 	minFar = 12
 	// sampled is the largest number of peer addresses that a heartbeat carries.
-	sampled = 4
+	sampled = 8
 )
 
 // Heartbeat is the part of a peer's heartbeat that concerns membership.
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -10,6 +10,12 @@
 //
 // A front that has just started knows nothing of the past. It takes the sustained part of
 // the allowance for used, evenly over the window before its start, which leaves the burst.
+// All fronts may have started at once and not know each other yet. For its first moments a
+// front therefore uses a part of a second's allowance only, the smaller the more fronts it knows.
+//
+// Until the others have heard what a front uses, each may use what is left. So that a fleet that
+// is refused, and gets a little back all at once, doesn't use it many times over, a front uses
+// only twice its even part of what is left until then, once little is left.
 //
 // A front whose heartbeats stopped may still be serving on the other side of a
 // partition. The limit therefore approaches a share of the allowance: the live fronts over
@@ -24,7 +30,7 @@
 //
 // # Usage
 //
-//	l := quota.New(hash, quota.DefaultWindow)
+//	l := quota.New(hash, quota.DefaultWindow, random)
 //	l.Configure(now, workspaces)
 //	wait, ok := l.Take(now, "workspace", 1500)
 //	l.Observe(now, "192.0.2.7:7600", quota.Report{Incarnation: 3, Continuous: true, Uses: uses})
@@ -33,6 +39,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"kingcupstand/core/plan"
@@ -51,6 +58,24 @@
 	riseTimeConstant = 1.0
 )
 
+const (
+	// settleTime is how long fronts that have started together take to find each other.
+	settleTime = 600 * time.Millisecond
+	// Until then a front uses up to settlingParts times its even part of a second's allowance,
+	// among the fronts that it knows or minSettling if those are fewer.
+	settlingParts = 2
+	minSettling   = 12
+	// unheardParts is how many times its even part of what is left of an allowance a front uses
+	// until the others have heard of it. Callers are spread unevenly over fronts.
+	unheardParts = 2
+	// scarceShare is the part of an allowance below which what is left of it is divided so.
+	scarceShare = 0.1
+	// heartbeatInterval is the longest time between two heartbeats, and reach the number of
+	// fronts that each goes to.
+	heartbeatInterval = 250 * time.Millisecond
+	reach             = 24
+)
+
 // Use is one front's usage of one workspace's allowance, in requests or tokens, whichever
 // the allowance counts.
 type Use struct {
@@ -71,8 +96,11 @@
 	// limit is the largest usage in a window that this front permits, as of updated.
 	limit   float64
 	updated time.Duration
-	// used is this front's own usage since it started.
-	used float64
+	// used is this front's own usage since it started, and heard what it was at heardAt: the
+	// others have heard of that, or will have at the next change of heardAt.
+	used    float64
+	heard   float64
+	heardAt time.Duration
 }
 
 // level returns how much of the allowance is left.
@@ -104,18 +132,25 @@
 	// share is the fraction of the allowances that is permitted here, from 0 to 1.
 	share  float64
 	window time.Duration
-	hash   func(string) uint32
+	// settled is when this front knows the others, and fronts the number that it knows now.
+	settled time.Duration
+	fronts  int
+	hash    func(string) uint32
+	random  *rand.Rand
 }
 
 // New returns a Limiter without allowances. They hold over windows of the given length,
 // which must be above 0. Heartbeats identify workspaces by the hash of their name, which
 // must be the same function at all fronts.
-func New(hash func(string) uint32, window time.Duration) *Limiter {
-	return &Limiter{accounts: map[uint32]*account{}, peers: map[string]*peerUsage{}, share: 1, window: window, hash: hash}
+func New(hash func(string) uint32, window time.Duration, r *rand.Rand) *Limiter {
+	return &Limiter{random: r, accounts: map[uint32]*account{}, peers: map[string]*peerUsage{}, share: 1, window: window, hash: hash}
 }
 
 // Configure replaces the allowances. Workspaces that stay keep their usage.
 func (l *Limiter) Configure(now time.Duration, ws []*plan.Workspace) {
+	if l.settled == 0 {
+		l.settled = now + settleTime
+	}
 	old := l.accounts
 	l.accounts = map[uint32]*account{}
 	for _, w := range ws {
@@ -139,6 +174,7 @@
 // SetFronts sets the number of live fronts, this one included, and the total of those
 // that may be serving. The limits approach live/total of the allowances.
 func (l *Limiter) SetFronts(now time.Duration, live, total int) {
+	l.fronts = live
 	p := 1.0
 	if total > 0 {
 		p = float64(live) / float64(total)
@@ -176,13 +212,43 @@
 	}
 	l.advance(now, a)
 	if a.level() <= 0 {
-		return a.recent.expires(now, n-a.level()), false
+		return max(a.recent.expires(now, n-a.level()), l.settled-now), false
+	}
+	if now < l.settled && a.used >= l.settling(a) {
+		return l.settled - now, false
+	}
+	if wait := l.unheard(now, a, n); wait > 0 {
+		return wait, false
 	}
 	a.recent.add(now, n)
 	a.used += n
 	return 0, true
 }
 
+// unheard returns how long a request of cost n waits because this front has used its part of what
+// is left until the others have heard of it; 0 if it hasn't. If that part is less than one
+// request, the request fits with the probability that makes it up on average.
+func (l *Limiter) unheard(now time.Duration, a *account, n float64) time.Duration {
+	d := heartbeatInterval * time.Duration(max(1, (l.fronts+reach-1)/reach))
+	if now-a.heardAt >= d {
+		a.heard, a.heardAt = a.used, now
+	}
+	u := a.used - a.heard
+	if l.fronts <= unheardParts || a.level()+u >= scarceShare*l.permitted(a) {
+		return 0
+	}
+	part := unheardParts * (a.level() + u) / float64(l.fronts)
+	if u+n <= part || u <= 0 && l.random.Float64()*n < part {
+		return 0
+	}
+	return a.heardAt + d - now
+}
+
+// settling returns how much of an account this front uses until it knows the others.
+func (l *Limiter) settling(a *account) float64 {
+	return settlingParts * max(a.workspace.Rate, a.workspace.Burst) / float64(max(minSettling, l.fronts))
+}
+
 // Refund puts back n that was taken for a request which did not run.
 func (l *Limiter) Refund(now time.Duration, workspace string, n float64) {
 	if a := l.accounts[l.hash(workspace)]; a != nil && a.workspace.Rate > 0 {
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -18,6 +18,9 @@
 // window is the window of the tests' allowances.
 const window = 8 * time.Second
 
+// random returns a source of random numbers that is the same in each run.
+func random() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
 // One workspace sends many times its allowance to fronts that a partition splits for a
 // while. The usage of all sides together exceeds rate and burst by no more than what
 // the delay of heartbeats accounts for.
@@ -35,7 +38,7 @@
 		side := rapid.IntRange(1, n-1).Draw(t, "side")
 		qs := make([]*quota.Limiter, n)
 		for i := range qs {
-			qs[i] = quota.New(pool.Hash, window)
+			qs[i] = quota.New(pool.Hash, window, random())
 			qs[i].Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: rate, Burst: burst}})
 		}
 		same := func(now time.Duration, i, j int) bool { return now < split || now >= heal || (i < side) == (j < side) }
@@ -98,7 +101,7 @@
 // burst would refuse a third of this load.
 func TestBurstyWorkspaceGetsItsWindow(t *testing.T) {
 	const rate, burst, cost = 1000.0, 4000.0, 100.0
-	q := quota.New(pool.Hash, window)
+	q := quota.New(pool.Hash, window, random())
 	q.Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: rate, Burst: burst}})
 	// 10,000 in the first second of each window of 8 s; the allowance is 12,000.
 	for _, start := range []time.Duration{window, 2*window + time.Second, 3*window + 2*time.Second} {
@@ -127,7 +130,7 @@
 // When the charges leave the window, the refunds must not make room for more.
 func TestRefundsDontAddToAllowance(t *testing.T) {
 	const rate, burst, cost, step = 1000.0, 1000.0, 20.0, 10 * time.Millisecond
-	q := quota.New(pool.Hash, window)
+	q := quota.New(pool.Hash, window, random())
 	q.Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: rate, Burst: burst}})
 	var used []float64
 	charged := map[time.Duration]int{}
@@ -154,7 +157,7 @@
 // A peer that restarts counts from zero. What its earlier incarnation used stays
 // charged.
 func TestRestartedPeerIsChargedFromZero(t *testing.T) {
-	q := quota.New(pool.Hash, window)
+	q := quota.New(pool.Hash, window, random())
 	q.Configure(0, []*plan.Workspace{{Name: "w", Rate: 10, Burst: 100}})
 	h := pool.Hash("w")
 	q.Observe(0, "p", quota.Report{Incarnation: 1, Continuous: true, Uses: quota.Uses{}})
@@ -166,7 +169,7 @@
 }
 
 func TestRefusalReturnsWait(t *testing.T) {
-	q := quota.New(pool.Hash, window)
+	q := quota.New(pool.Hash, window, random())
 	q.Configure(0, []*plan.Workspace{{Name: "w", Rate: 10, Burst: 10}})
 	for range 2 {
 		if _, ok := q.Take(0, "w", 10); !ok {
@@ -188,7 +191,7 @@
 // In a rolling restart, a front that starts receives the running totals of fronts that
 // started long before. Only their growth from then on is charged.
 func TestOldUsageOfPeersIsNotCharged(t *testing.T) {
-	q := quota.New(pool.Hash, window)
+	q := quota.New(pool.Hash, window, random())
 	q.Configure(0, []*plan.Workspace{{Name: "w", Rate: 10, Burst: 100}})
 	h := pool.Hash("w")
 	q.Observe(0, "p", quota.Report{Incarnation: 1, Continuous: true, Uses: quota.Uses{h: {Used: 1e6, Level: 100}}})
@@ -204,7 +207,7 @@
 // During a partition the limit is a share of the allowance only, which leaves room for
 // the peer's usage. It is not charged a second time when the partition heals.
 func TestUsageDuringPartitionIsNotCharged(t *testing.T) {
-	q := quota.New(pool.Hash, window)
+	q := quota.New(pool.Hash, window, random())
 	q.Configure(0, []*plan.Workspace{{Name: "w", Rate: 10, Burst: 100}})
 	h := pool.Hash("w")
 	q.Observe(0, "p", quota.Report{Incarnation: 1, Continuous: true, Uses: quota.Uses{h: {Used: 0, Level: 100}}})
@@ -226,7 +229,7 @@
 	const found = 500 * time.Millisecond
 	qs := make([]*quota.Limiter, n)
 	for i := range qs {
-		qs[i] = quota.New(pool.Hash, window)
+		qs[i] = quota.New(pool.Hash, window, random())
 		qs[i].Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: rate, Burst: burst}})
 	}
 	used := 0.0
@@ -255,7 +258,7 @@
 func TestAllowanceHoldsInRollingRestart(t *testing.T) {
 	const n, rate, burst, cost = 20, 1000.0, 1000.0, 20.0
 	start := func() *quota.Limiter {
-		q := quota.New(pool.Hash, window)
+		q := quota.New(pool.Hash, window, random())
 		q.Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: rate, Burst: burst}})
 		return q
 	}
@@ -304,7 +307,7 @@
 	r := rand.New(rand.NewPCG(1, 2))
 	qs := make([]*quota.Limiter, n)
 	for i := range qs {
-		qs[i] = quota.New(pool.Hash, window)
+		qs[i] = quota.New(pool.Hash, window, random())
 		qs[i].Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: rate, Burst: burst}})
 		qs[i].SetFronts(0, n, n)
 	}
@@ -334,3 +337,105 @@
 		t.Errorf("used %.0f in a window, want 0.8 to 1.25 times the allowance of %.0f", m, allowance)
 	}
 }
+
+// All fronts of a fleet restart at once under many times the allowance of one workspace, and find
+// each other within half a second. What they use until then stays within the overshoot that the
+// users accept, and a workspace that keeps to its rate is not refused for it.
+func TestAllowanceHoldsWhileFrontsFindEachOther(t *testing.T) {
+	const (
+		rate, burst = 100000.0, 100000.0
+		cost        = 500.0
+		step        = 10 * time.Millisecond
+		found       = 500 * time.Millisecond
+	)
+	for _, n := range []int{4, 22, 68} {
+		for _, demand := range []float64{1, 12} {
+			r := rand.New(rand.NewPCG(1, 2))
+			qs := make([]*quota.Limiter, n)
+			for i := range qs {
+				qs[i] = quota.New(pool.Hash, window, random())
+				qs[i].Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: rate, Burst: burst}})
+			}
+			used, refused := 0.0, 0
+			due := 0.0
+			for now := time.Duration(0); now < 2*found; now += step {
+				for due += demand * rate * step.Seconds() / cost; due >= 1; due-- {
+					if _, ok := qs[r.IntN(n)].Take(now, "w", cost); ok {
+						used += cost
+					} else {
+						refused++
+					}
+				}
+				if now%(100*time.Millisecond) != 0 {
+					continue
+				}
+				known := 1 + int(float64(n-1)*min(1, now.Seconds()/found.Seconds()))
+				for i, q := range qs {
+					q.SetFronts(now, known, known)
+					u := quota.Report{Incarnation: 1, Started: true, Continuous: true, Uses: q.Uses(now)}
+					for j := 1; j < known; j++ {
+						qs[(i+j)%n].Observe(now, fmt.Sprint(i), u)
+					}
+				}
+			}
+			// The overshoot is a quarter of the allowance of a window.
+			if most := burst + rate*(2*found).Seconds() + 0.25*(rate*window.Seconds()+burst); used > most {
+				t.Errorf("%d fronts, %v times the rate: used %.0f, want at most %.0f", n, demand, used, most)
+			}
+			if demand == 1 && refused > 2 {
+				t.Errorf("%d fronts: %d of 200 requests within the rate were refused", n, refused)
+			}
+		}
+	}
+}
+
+// A workspace that sends many times its allowance is refused at all fronts, until a little of its
+// usage leaves the window at all of them at the same moment. What they use before they have heard
+// of each other stays within the overshoot that the users accept.
+func TestAllowanceHoldsWhenFrontsAdmitAgainAtOnce(t *testing.T) {
+	const (
+		rate, burst = 100000.0, 100000.0
+		cost        = 1000.0
+		demand      = 12.0
+		step        = 10 * time.Millisecond
+	)
+	for _, n := range []int{4, 22, 68} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(1, 2))
+			qs := make([]*quota.Limiter, n)
+			for i := range qs {
+				qs[i] = quota.New(pool.Hash, window, random())
+				qs[i].Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: rate, Burst: burst}})
+				qs[i].SetFronts(0, n, n)
+			}
+			var recent []float64
+			for now := time.Duration(0); now < 4*window; now += step {
+				recent = append(recent, 0)
+				d := 0.5 // the sustained load, and every ten seconds a rush
+				if now%(10*time.Second) > 5*time.Second {
+					d = demand
+				}
+				for range int(d*rate*step.Seconds()/cost + r.Float64()) {
+					if _, ok := qs[r.IntN(n)].Take(now, "w", cost); ok {
+						recent[len(recent)-1] += cost
+					}
+				}
+				for i, q := range qs {
+					if (now+time.Duration(i)*step)%(250*time.Millisecond) != 0 {
+						continue
+					}
+					u := quota.Report{Incarnation: 1, Started: now < 5*time.Second, Continuous: true, Uses: q.Uses(now)}
+					for _, j := range r.Perm(n)[:min(n, 24)] {
+						if j != i {
+							qs[j].Observe(now, fmt.Sprint(i), u)
+						}
+					}
+				}
+			}
+			allowance := rate*window.Seconds() + burst
+			if m := maxSum(recent, int(window/step)); m > 1.25*allowance || m < 0.9*allowance {
+				t.Errorf("%d fronts used %.2f of the allowance in a window, want 0.9 to 1.25", n, m/allowance)
+			}
+		})
+	}
+}
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -80,7 +80,7 @@
 		pool:   p,
 		sched:  sched.New[*pending](p, r),
 		roster: roster.New(),
-		quota:  quota.New(pool.Hash, allowanceWindow(s)),
+		quota:  quota.New(pool.Hash, allowanceWindow(s), r),
 		budget: retry.New(retry.Limits{
 			Ratio:  s.RetryRatio,
 			Slack:  s.RetrySlack,
--- a/io/gossip/parse_test.go
+++ b/io/gossip/parse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -38,7 +39,7 @@
 		if err != nil {
 			return
 		}
-		q := quota.New(pool.Hash, quota.DefaultWindow)
+		q := quota.New(pool.Hash, quota.DefaultWindow, rand.New(rand.NewPCG(1, 2)))
 		q.Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: 10, Burst: 100}})
 		us := quota.Uses{}
 		for _, w := range m.Workspaces {
