--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -10,16 +10,19 @@
 // As a heartbeat reaches few peers of a large fleet, it also carries sightings: the latest
 // heartbeats that the sender knows of other peers, from them or from what others passed on,
 // with their age. A peer is live for AliveFor after its last heartbeat that is known here,
-// and in a large fleet for up to MaxAliveFor.
-// After that it may still be serving on the other side of a partition, and Count includes it
-// in the total until ServingFor has passed, unless it announced that it is leaving.
+// and in a large fleet for up to MaxAliveFor. After that it may still be serving on the other
+// side of a partition, and Count includes it in the total until ServingFor has passed, unless
+// it announced that it is leaving.
+//
+// In a large fleet with several data centres the fronts of each exchange heartbeats more often
+// than others, as each needs to know the load of the targets near it best; see Regional.
 //
 // # Usage
 //
 //	t := peers.New("192.0.2.1:7600", dataCentre, seeds)
 //	fresh := t.Observe(now, peers.Heartbeat{Peer: "192.0.2.7:7600", Incarnation: 3, Sequence: 41})
 //	t.ObserveSightings(now, sightings)
-//	for _, a := range t.Recipients(random, nil) { send(a, heartbeat, t.Sightings(now, random)) }
+//	for _, a := range t.Recipients(random, nil, nil) { send(a, heartbeat, t.Sightings(now, random)) }
 //	live, total := t.Count(now)
 package peers
 
@@ -94,8 +97,8 @@
 	added time.Duration
 	// hash is the Hash of the address.
 	hash uint32
-	// sign is the last sign of life, and since when the peer has counted as live without
-	// interruption.
+	// sign is the last sign of life. The peer has counted as live without interruption from
+	// since until AliveFor after it.
 	sign  sign
 	since time.Duration
 	// continuous is true if the peer counted as live from its last heartbeat but one to the
--- a/core/peers/sighting.go
+++ b/core/peers/sighting.go
@@ -91,6 +91,7 @@
 	}
 	var ss []Sighting
 	n := min(maxSightings, max(minSightings, len(t.order)/sightingShare))
+	// Those that are a good part of the way to being out of date tell most peers nothing new.
 	for i := 0; i < len(t.order) && len(ss) < n; i++ {
 		j := i + r.IntN(len(t.order)-i)
 		t.order[i], t.order[j] = t.order[j], t.order[i]
--- a/internal/bench/front.go
+++ b/internal/bench/front.go
@@ -363,7 +363,8 @@
 			to = append(to, o)
 		}
 	}
-	return to[:recipients-(len(w.fronts)-len(to))+1]
+	near := len(w.fronts) - len(to) - 1 // without this front
+	return to[:recipients-max(0, near)]
 }
 
 // nearHeartbeat is a heartbeat to the fronts of the same data centre.
