--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -30,7 +30,7 @@
 //
 // # Usage
 //
-//	l := quota.New(hash, quota.DefaultWindow, random)
+//	l := quota.New(hash, quota.DefaultWindow, true, random)
 //	l.Configure(now, workspaces)
 //	wait, ok := l.Take(now, "workspace", 1500)
 //	l.Observe(now, "192.0.2.7:7600", quota.Report{Incarnation: 3, Continuous: true, Uses: uses})
@@ -132,23 +132,27 @@
 	// share is the fraction of the allowances that is permitted here, from 0 to 1.
 	share  float64
 	window time.Duration
-	// settled is when this front knows the others, and fronts the number that it knows now.
-	settled time.Duration
-	fronts  int
-	hash    func(string) uint32
-	random  *rand.Rand
+	// expectsPeers is true if there may be other fronts. Settled is when this front knows them,
+	// and fronts the number that it knows now.
+	expectsPeers bool
+	settled      time.Duration
+	fronts       int
+	hash         func(string) uint32
+	random       *rand.Rand
 }
 
 // New returns a Limiter without allowances. They hold over windows of the given length,
 // which must be above 0. Heartbeats identify workspaces by the hash of their name, which
 // must be the same function at all fronts.
-func New(hash func(string) uint32, window time.Duration, r *rand.Rand) *Limiter {
-	return &Limiter{random: r, accounts: map[uint32]*account{}, peers: map[string]*peerUsage{}, share: 1, window: window, hash: hash}
+//
+// Peers is true if there may be other fronts.
+func New(hash func(string) uint32, window time.Duration, peers bool, r *rand.Rand) *Limiter {
+	return &Limiter{expectsPeers: peers, random: r, accounts: map[uint32]*account{}, peers: map[string]*peerUsage{}, share: 1, window: window, hash: hash}
 }
 
 // Configure replaces the allowances. Workspaces that stay keep their usage.
 func (l *Limiter) Configure(now time.Duration, ws []*plan.Workspace) {
-	if l.settled == 0 {
+	if l.expectsPeers && l.settled == 0 {
 		l.settled = now + settleTime
 	}
 	old := l.accounts
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -38,7 +38,7 @@
 		side := rapid.IntRange(1, n-1).Draw(t, "side")
 		qs := make([]*quota.Limiter, n)
 		for i := range qs {
-			qs[i] = quota.New(pool.Hash, window, random())
+			qs[i] = quota.New(pool.Hash, window, true, random())
 			qs[i].Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: rate, Burst: burst}})
 		}
 		same := func(now time.Duration, i, j int) bool { return now < split || now >= heal || (i < side) == (j < side) }
@@ -101,7 +101,7 @@
 // burst would refuse a third of this load.
 func TestBurstyWorkspaceGetsItsWindow(t *testing.T) {
 	const rate, burst, cost = 1000.0, 4000.0, 100.0
-	q := quota.New(pool.Hash, window, random())
+	q := quota.New(pool.Hash, window, true, random())
 	q.Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: rate, Burst: burst}})
 	// 10,000 in the first second of each window of 8 s; the allowance is 12,000.
 	for _, start := range []time.Duration{window, 2*window + time.Second, 3*window + 2*time.Second} {
@@ -130,7 +130,7 @@
 // When the charges leave the window, the refunds must not make room for more.
 func TestRefundsDontAddToAllowance(t *testing.T) {
 	const rate, burst, cost, step = 1000.0, 1000.0, 20.0, 10 * time.Millisecond
-	q := quota.New(pool.Hash, window, random())
+	q := quota.New(pool.Hash, window, true, random())
 	q.Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: rate, Burst: burst}})
 	var used []float64
 	charged := map[time.Duration]int{}
@@ -157,7 +157,7 @@
 // A peer that restarts counts from zero. What its earlier incarnation used stays
 // charged.
 func TestRestartedPeerIsChargedFromZero(t *testing.T) {
-	q := quota.New(pool.Hash, window, random())
+	q := quota.New(pool.Hash, window, true, random())
 	q.Configure(0, []*plan.Workspace{{Name: "w", Rate: 10, Burst: 100}})
 	h := pool.Hash("w")
 	q.Observe(0, "p", quota.Report{Incarnation: 1, Continuous: true, Uses: quota.Uses{}})
@@ -169,7 +169,7 @@
 }
 
 func TestRefusalReturnsWait(t *testing.T) {
-	q := quota.New(pool.Hash, window, random())
+	q := quota.New(pool.Hash, window, true, random())
 	q.Configure(0, []*plan.Workspace{{Name: "w", Rate: 10, Burst: 10}})
 	for range 2 {
 		if _, ok := q.Take(0, "w", 10); !ok {
@@ -191,7 +191,7 @@
 // In a rolling restart, a front that starts receives the running totals of fronts that
 // started long before. Only their growth from then on is charged.
 func TestOldUsageOfPeersIsNotCharged(t *testing.T) {
-	q := quota.New(pool.Hash, window, random())
+	q := quota.New(pool.Hash, window, true, random())
 	q.Configure(0, []*plan.Workspace{{Name: "w", Rate: 10, Burst: 100}})
 	h := pool.Hash("w")
 	q.Observe(0, "p", quota.Report{Incarnation: 1, Continuous: true, Uses: quota.Uses{h: {Used: 1e6, Level: 100}}})
@@ -207,7 +207,7 @@
 // During a partition the limit is a share of the allowance only, which leaves room for
 // the peer's usage. It is not charged a second time when the partition heals.
 func TestUsageDuringPartitionIsNotCharged(t *testing.T) {
-	q := quota.New(pool.Hash, window, random())
+	q := quota.New(pool.Hash, window, true, random())
 	q.Configure(0, []*plan.Workspace{{Name: "w", Rate: 10, Burst: 100}})
 	h := pool.Hash("w")
 	q.Observe(0, "p", quota.Report{Incarnation: 1, Continuous: true, Uses: quota.Uses{h: {Used: 0, Level: 100}}})
@@ -229,7 +229,7 @@
 	const found = 500 * time.Millisecond
 	qs := make([]*quota.Limiter, n)
 	for i := range qs {
-		qs[i] = quota.New(pool.Hash, window, random())
+		qs[i] = quota.New(pool.Hash, window, true, random())
 		qs[i].Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: rate, Burst: burst}})
 	}
 	used := 0.0
@@ -258,7 +258,7 @@
 func TestAllowanceHoldsInRollingRestart(t *testing.T) {
 	const n, rate, burst, cost = 20, 1000.0, 1000.0, 20.0
 	start := func() *quota.Limiter {
-		q := quota.New(pool.Hash, window, random())
+		q := quota.New(pool.Hash, window, true, random())
 		q.Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: rate, Burst: burst}})
 		return q
 	}
@@ -307,7 +307,7 @@
 	r := rand.New(rand.NewPCG(1, 2))
 	qs := make([]*quota.Limiter, n)
 	for i := range qs {
-		qs[i] = quota.New(pool.Hash, window, random())
+		qs[i] = quota.New(pool.Hash, window, true, random())
 		qs[i].Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: rate, Burst: burst}})
 		qs[i].SetFronts(0, n, n)
 	}
@@ -353,7 +353,7 @@
 			r := rand.New(rand.NewPCG(1, 2))
 			qs := make([]*quota.Limiter, n)
 			for i := range qs {
-				qs[i] = quota.New(pool.Hash, window, random())
+				qs[i] = quota.New(pool.Hash, window, true, random())
 				qs[i].Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: rate, Burst: burst}})
 			}
 			used, refused := 0.0, 0
@@ -404,7 +404,7 @@
 			r := rand.New(rand.NewPCG(1, 2))
 			qs := make([]*quota.Limiter, n)
 			for i := range qs {
-				qs[i] = quota.New(pool.Hash, window, random())
+				qs[i] = quota.New(pool.Hash, window, true, random())
 				qs[i].Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: rate, Burst: burst}})
 				qs[i].SetFronts(0, n, n)
 			}
@@ -439,3 +439,15 @@
 		})
 	}
 }
+
+// A front that has no peers may use all of an allowance from its start.
+func TestFrontAloneUsesItsBurstAtOnce(t *testing.T) {
+	const burst, cost = 1000.0, 150.0
+	q := quota.New(pool.Hash, window, false, random())
+	q.Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: 1, Burst: burst}})
+	for used := cost; used <= burst; used += cost {
+		if wait, ok := q.Take(0, "w", cost); !ok {
+			t.Errorf("refused with a wait of %v at %.0f of %.0f", wait, used, burst)
+		}
+	}
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -43,7 +43,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -283,8 +282,7 @@
 		return true
 	default:
 	}
-	return time.Since(f.started) >= joinTimeout ||
-		!slices.ContainsFunc(f.settings.Seeds, func(a string) bool { return a != f.settings.Peer })
+	return time.Since(f.started) >= joinTimeout || !hasPeers(f.settings)
 }
 
 // waitInformed waits until the front is informed, but not beyond the end of ctx.
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"kingcupstand/core/length"
@@ -65,6 +66,11 @@
 	listConfirmed time.Duration
 }
 
+// hasPeers reports whether there may be other fronts.
+func hasPeers(s *spec.Front) bool {
+	return slices.ContainsFunc(s.Seeds, func(a string) bool { return a != s.Peer })
+}
+
 // allowanceWindow returns the window over which allowances hold.
 func allowanceWindow(s *spec.Front) time.Duration {
 	if s.AllowanceWindowMs == 0 {
@@ -80,7 +86,7 @@
 		pool:   p,
 		sched:  sched.New[*pending](p, r),
 		roster: roster.New(),
-		quota:  quota.New(pool.Hash, allowanceWindow(s), r),
+		quota:  quota.New(pool.Hash, allowanceWindow(s), hasPeers(s), r),
 		budget: retry.New(retry.Limits{
 			Ratio:  s.RetryRatio,
 			Slack:  s.RetrySlack,
--- a/io/gossip/parse_test.go
+++ b/io/gossip/parse_test.go
@@ -39,7 +39,7 @@
 		if err != nil {
 			return
 		}
-		q := quota.New(pool.Hash, quota.DefaultWindow, rand.New(rand.NewPCG(1, 2)))
+		q := quota.New(pool.Hash, quota.DefaultWindow, true, rand.New(rand.NewPCG(1, 2)))
 		q.Configure(0, []*plan.Workspace{{Name: "w", CountsTokens: true, Rate: 10, Burst: 100}})
 		us := quota.Uses{}
 		for _, w := range m.Workspaces {
