core/sched: fronts without near engines own slots of those elsewhere

Found by reading: in a regional fleet a front whose data centre has no engine of a service owned no slot and was left with credits. It now shares the slots of all data centres that have any (TestFrontsWithout- NearEnginesOwnSlots, 0 of 160 slots before).

--- a/core/sched/region_test.go
+++ b/core/sched/region_test.go
@@ -91,3 +91,26 @@
 		t.Errorf("got %v for the far engine, want ErrFull", err)
 	}
 }
+
+// A front whose data centre has no engine owns slots of the engines elsewhere.
+func TestFrontsWithoutNearEnginesOwnSlots(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	p := pool.New("dc-2", r)
+	p.SetTargets([]pool.Target{
+		{ID: "dc-0", DataCentre: "dc-0", Service: "chat", Slots: 80, Engine: true},
+		{ID: "dc-1", DataCentre: "dc-1", Service: "chat", Slots: 80, Engine: true},
+	})
+	s := sched.New[int](p, r)
+	s.SetFronts(39, 39)
+	s.SetRegional(true)
+	s.Enqueue(0, sched.Request{Criteria: pool.Criteria{Service: "chat"}}, 1)
+	for i := range 38 {
+		d := pool.Hash(fmt.Sprintf("dc-%d", i%3))
+		s.SetPeer(fmt.Sprint(i), sched.Report{DataCentre: d, Demand: map[uint32]float64{pool.Hash("chat"): s.Demand(0, "chat")}})
+	}
+	s.AssignSlots(0, "self")
+	// An even part of 160 slots among 39 fronts is 4; each engine's slots are shared by 26 fronts.
+	if n := p.Load(0, "chat").OwnSlots; n < 3 || n > 12 {
+		t.Errorf("owns %d of 160 slots, want about 6", n)
+	}
+}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -387,8 +387,15 @@
 			fs = append(fs, f)
 			by[r.DataCentre] = append(by[r.DataCentre], f)
 		}
+		// Fronts whose data centre has no engine of the service share those of all others.
+		var elsewhere []share.Front
+		for d, near := range by {
+			if es[d] == nil {
+				elsewhere = append(elsewhere, near...)
+			}
+		}
 		for d, ts := range es {
-			near := by[d]
+			near := slices.Concat(by[d], elsewhere)
 			if !s.regional || len(near) == 0 {
 				near = fs
 			}
