io/front, core/pool: files of one concept each

Declarations were moved only. core/pool, core/sched and io/front tests pass; nothing else was rerun.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -74,7 +74,6 @@
 import (
 	"errors"
 	"hash/fnv"
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -122,17 +121,6 @@
 	ExpectedFirstByte time.Duration
 }
 
-// Use is what one front has in flight at one target.
-type Use struct {
-	// Target is the hash of the target's ID; see Hash.
-	Target  uint32
-	Running int
-	// PromptTokens is the total length of the prompts whose first event has not arrived.
-	PromptTokens int
-	// Failing is true if that front has suspended the target.
-	Failing bool
-}
-
 // Pool is the set of targets of one front. It is not safe for concurrent use.
 type Pool struct {
 	dataCentre string
@@ -180,33 +168,6 @@
 	}
 }
 
-// DataCentre returns the Hash of this front's data centre.
-func (p *Pool) DataCentre() uint32 { return Hash(p.dataCentre) }
-
-// SetRegional sets whether the fronts of each data centre exchange heartbeats more often than
-// others, so that this front knows the load of near targets better than that of far ones.
-func (p *Pool) SetRegional(regional bool) { p.regional = regional }
-
-// far reports whether the load of a target is known less well because it is in another data
-// centre.
-func (p *Pool) far(t *target) bool { return p.regional && t.DataCentre != p.dataCentre }
-
-// RefillCredits refills the credits for sending to slots of other fronts, at all targets but the
-// far ones. It is called once per round of heartbeats, with the number of live fronts that take
-// part in it, this one included.
-func (p *Pool) RefillCredits(now time.Duration, fronts int) { p.refill(now, fronts, false) }
-
-// RefillFarCredits is RefillCredits for the far targets.
-func (p *Pool) RefillFarCredits(now time.Duration, fronts int) { p.refill(now, fronts, true) }
-
-func (p *Pool) refill(now time.Duration, fronts int, far bool) {
-	for _, t := range p.targets {
-		if p.far(t) == far {
-			t.refillCredits(now, fronts)
-		}
-	}
-}
-
 // ExpectedFirstByte returns the predicted time to the first byte at an average engine
 // of the service that has no other prompt to prefill, for a prompt of the given number
 // of tokens.
@@ -265,185 +226,6 @@
 	}
 }
 
-// attachUses copies a peer's uses to the targets.
-func (p *Pool) attachUses(peer string) {
-	us := p.peers[peer]
-	for h, u := range us {
-		if t := p.byHash[h]; t != nil {
-			t.setPeer(peer, u)
-		}
-	}
-}
-
-// Load is the sum over the targets of a service.
-type Load struct {
-	// Targets is the number of targets that are not leaving, and Usable the number of
-	// those that may get requests now.
-	Targets int
-	Usable  int
-	// Slots is the number of requests that the usable targets may have in flight.
-	Slots int
-	// Running is the number of requests in flight from all fronts, and OwnRunning the
-	// number from this front.
-	Running    int
-	OwnRunning int
-	// OwnSlots is the number of slots of usable targets that this front owns.
-	OwnSlots int
-}
-
-// Load returns the load of a service.
-func (p *Pool) Load(now time.Duration, service string) Load {
-	var l Load
-	for _, t := range p.byService[service] {
-		l.Running += t.running()
-		l.OwnRunning += t.ownRunning
-		if t.Leaving {
-			continue
-		}
-		l.Targets++
-		if t.usable(now) {
-			l.Usable++
-			l.Slots += t.openPlaces(now)
-			l.OwnSlots += t.ownSlots
-		}
-	}
-	return l
-}
-
-// Targets returns the targets of a service that are not leaving.
-func (p *Pool) Targets(service string) []Target {
-	var ts []Target
-	for _, t := range p.byService[service] {
-		if !t.Leaving {
-			ts = append(ts, t.Target)
-		}
-	}
-	return ts
-}
-
-// FreeSlots returns the number of free slots at the usable targets of a service.
-func (p *Pool) FreeSlots(now time.Duration, service string) int {
-	n := 0
-	for _, t := range p.byService[service] {
-		if t.usable(now) {
-			n += max(0, t.openPlaces(now)-t.running())
-		}
-	}
-	return n
-}
-
-// Choose returns the target with the smallest score. It returns ErrFull if no usable
-// target has a slot for the request, and ErrNoTarget if there is no usable target and
-// none that can be probed. A caller that sends the request calls Begin first.
-func (p *Pool) Choose(now time.Duration, c Criteria) (Choice, error) {
-	var best *target
-	var least time.Duration
-	err := ErrNoTarget
-	f := p.fastest(now, c)
-	for _, t := range p.byService[c.Service] {
-		if !c.admits(t) || !t.usable(now) {
-			continue
-		}
-		if !t.hasSlot() && (!c.Oversubscribe || p.far(t) || !t.acceptsExtra()) || now < t.fullUntil || !t.limit.Allows(now) || !t.suits(now, c, f) {
-			err = ErrFull
-			continue
-		}
-		s := p.score(now, t, c)
-		if best == nil || s < least {
-			best, least = t, s
-		}
-	}
-	if best == nil && errors.Is(err, ErrNoTarget) {
-		best = p.suspended(now, c)
-	}
-	if best == nil {
-		return Choice{}, err
-	}
-	return Choice{
-		ID:                best.ID,
-		Address:           best.Address,
-		Born:              best.Born,
-		Version:           best.Version,
-		Running:           best.running(),
-		Slots:             best.Slots,
-		PrefillTokens:     best.prefillTokens(c.PromptTokens),
-		ExpectedFirstByte: best.predictFirstByte(now, c.PromptTokens),
-	}, nil
-}
-
-// fastest returns the shortest times that usable targets are expected to need for a request.
-func (p *Pool) fastest(now time.Duration, c Criteria) times {
-	f := times{firstByte: math.MaxInt64, output: math.MaxInt64}
-	for _, t := range p.byService[c.Service] {
-		if c.admits(t) && t.usable(now) {
-			f.firstByte = min(f.firstByte, t.predictPrefill(now, c.PromptTokens))
-			f.output = min(f.output, t.predictOutput(c.Events))
-		}
-	}
-	return f
-}
-
-// suspended returns the target whose suspension ends first among those where this front
-// has nothing in flight, or nil. It is used if no target is usable, because a dispatch that
-// may fail is better for the caller than a refusal.
-func (p *Pool) suspended(now time.Duration, c Criteria) *target {
-	var best *target
-	for _, t := range p.byService[c.Service] {
-		if !c.admits(t) || t.notices.paused(now) || t.ownRunning > 0 || !t.limit.Allows(now) {
-			continue
-		}
-		if best == nil || t.suspendedUntil < best.suspendedUntil {
-			best = t
-		}
-	}
-	return best
-}
-
-// Parameters of the score.
-const (
-	// jitter is the largest random part of a score, relative to the rest. Heartbeats
-	// are about 50 ms old, in which other fronts send a handful of requests; 20%
-	// is enough to make the fronts choose different targets.
-	jitter = 0.2
-	// failurePenalty is the weight of a target's failure rate: with 8, a target that
-	// fails half of its requests counts as 5 times slower than without failures.
-	failurePenalty = 8.0
-	// noRetryPenalty replaces failurePenalty for requests that can't be sent again, and
-	// so are lost if the target fails.
-	noRetryPenalty = 24.0
-	// outputWeight is the weight of the time in which the response is generated. It is far
-	// below 1, because goals concern the first byte.
-	outputWeight = 0.1
-	// crossDataCentreRTT is the round-trip time to another data centre.
-	crossDataCentreRTT = 2 * time.Millisecond
-	// farPenalty is added for a far target, whose load may be a second old.
-	farPenalty = 28 * time.Millisecond
-)
-
-// score returns the predicted time to the first byte, weighted by the load, the failure
-// rate and the distance of the target.
-func (p *Pool) score(now time.Duration, t *target, c Criteria) time.Duration {
-	s := float64(t.predictFirstByte(now, c.PromptTokens))
-	if t.DataCentre != p.dataCentre {
-		s += float64(crossDataCentreRTT)
-	}
-	if p.far(t) {
-		s += float64(farPenalty)
-	}
-	if t.Engine {
-		// A larger batch slows down every token and leaves less room for long prompts.
-		s += float64(t.eventGap)*float64(t.running()) + outputWeight*float64(t.predictOutput(c.Events))
-	} else {
-		s *= 1 + float64(t.running())
-	}
-	f := failurePenalty
-	if c.NoRetry {
-		f = noRetryPenalty
-	}
-	s *= 1 + f*t.failureRate.get(now)
-	return time.Duration(s * (1 + jitter*p.random.Float64()))
-}
-
 // Begin records that a request with the given number of prompt tokens is sent to a
 // target. Each call is followed by one of End. Begin, End and the methods that record
 // observations ignore a target that is not in the pool.
@@ -488,37 +270,3 @@
 		t.suspend(now)
 	}
 }
-
-// SetPeer replaces what a peer has in flight.
-func (p *Pool) SetPeer(peer string, us []Use) {
-	p.RemovePeer(peer)
-	m := map[uint32]Use{}
-	for _, u := range us {
-		m[u.Target] = u
-	}
-	p.peers[peer] = m
-	p.attachUses(peer)
-}
-
-// RemovePeer discards what a peer has in flight.
-func (p *Pool) RemovePeer(peer string) {
-	for h := range p.peers[peer] {
-		if t := p.byHash[h]; t != nil {
-			t.removePeer(peer)
-		}
-	}
-	delete(p.peers, peer)
-}
-
-// Uses returns what this front has in flight, for its heartbeats. Targets without
-// requests are left out unless they are suspended.
-func (p *Pool) Uses(now time.Duration) []Use {
-	var us []Use
-	for _, t := range p.targets {
-		f := now < t.suspendedUntil
-		if t.ownRunning > 0 || f {
-			us = append(us, Use{Target: Hash(t.ID), Running: t.ownRunning, PromptTokens: t.ownTokens, Failing: f})
-		}
-	}
-	return us
-}
--- /dev/null
+++ b/io/front/plain.go
@@ -0,0 +1,141 @@
+package front
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"kingcupstand/core/pool"
+)
+
+// discard reads a body to its end. It fails with errBodyTooLong after maxBuffered.
+func discard(b io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(b, maxBuffered+1))
+	if err == nil && n > maxBuffered {
+		err = errBodyTooLong
+	}
+	return err
+}
+
+// readPlain reads a response that is no stream, up to maxBuffered. A server error other than
+// 504 is kept as the fallback, as another target may succeed. Only a success may be longer.
+func (e *exchange) readPlain(success bool) error {
+	a := e.response
+	b, n, err := readBlocks(io.LimitReader(a.Body, maxBuffered+1))
+	if err != nil {
+		e.broken = true
+		return fmt.Errorf("read response body: %w", err)
+	}
+	e.plain = &response{status: a.StatusCode, header: responseHeaders(a.Header), body: b, whole: n <= maxBuffered, length: a.ContentLength}
+	switch {
+	case !e.plain.whole && success:
+		return nil
+	case !e.plain.whole:
+		e.plain, e.broken = nil, true
+		return fmt.Errorf("status %d: %w", a.StatusCode, errBodyTooLong)
+	}
+	e.keep(a)
+	e.outcome = pool.Good
+	switch {
+	case success:
+		e.sound = !unframed(a)
+		return nil
+	case a.StatusCode >= http.StatusInternalServerError && a.StatusCode != http.StatusGatewayTimeout:
+		e.outcome = pool.Failed
+		e.fallback = e.plain
+		return fmt.Errorf("status %d: %w", a.StatusCode, errServerError)
+	}
+	e.outcome = pool.Neutral
+	if e.continues {
+		return fmt.Errorf("status %d: %w", a.StatusCode, errDeclined)
+	}
+	return nil
+}
+
+// Sizes in bytes of the blocks that a response is read into: each is twice as large as the one
+// before.
+const (
+	minBlock = 2 << 10
+	maxBlock = 64 << 10
+)
+
+// readBlocks reads r to its end.
+func readBlocks(r io.Reader) (blocks [][]byte, size int, err error) {
+	for next := minBlock; ; next = min(maxBlock, 2*next) {
+		b, n := make([]byte, next), 0
+		for n < len(b) && err == nil {
+			var m int
+			m, err = r.Read(b[n:])
+			n += m
+		}
+		blocks, size = append(blocks, b[:n]), size+n
+		if errors.Is(err, io.EOF) {
+			return blocks, size, nil
+		}
+		if err != nil {
+			return nil, size, err
+		}
+	}
+}
+
+// forwardPlain forwards a response that is no stream. One that was not read to its end is
+// forwarded while it is being read; if the target breaks off, the caller's connection is broken
+// as well.
+func (e *exchange) forwardPlain() result {
+	q, a := e.request, e.response
+	if !e.plain.whole && !e.takeover.settle() {
+		return result{sent: true, mayHaveRun: true, err: errStalled}
+	}
+	if e.stallTimer != nil {
+		e.stallTimer.Stop()
+	}
+	e.recordFirstByte()
+	e.plain.write(q)
+	if !e.plain.whole {
+		if err := e.copyRest(); err != nil {
+			return result{sent: true, mayHaveRun: true, err: err, abort: fmt.Sprintf("cut: %v", err)}
+		}
+		e.keep(a)
+		e.outcome = pool.Good
+	}
+	q.finish(e.plain.status, "answered")
+	return result{done: true}
+}
+
+// copyRest forwards the part of the response that was not read into the buffer.
+func (e *exchange) copyRest() error {
+	n, err := io.Copy(e.request.writer, io.LimitReader(e.response.Body, maxBody-maxBuffered))
+	if err == nil && n == maxBody-maxBuffered {
+		err = errBodyTooLong
+	}
+	return err
+}
+
+// response is a target's response that is not streamed.
+type response struct {
+	status int
+	header http.Header
+	// body is in blocks, which need not be copied while it grows.
+	body [][]byte
+	// whole is false if body holds only the beginning of the body, whose size in bytes is then
+	// length, or -1 if unknown.
+	whole  bool
+	length int64
+}
+
+// write writes the headers and body to the caller.
+func (o *response) write(q *request) {
+	h := q.writer.Header()
+	for k, v := range o.header {
+		h[k] = v
+	}
+	q.closeIfStopping()
+	q.writer.WriteHeader(o.status)
+	for _, b := range o.body {
+		if _, err := q.writer.Write(b); err != nil {
+			q.summary.detail = err.Error()
+			return
+		}
+	}
+}
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -4,10 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"net/textproto"
-	"strings"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -289,15 +286,6 @@
 	}
 }
 
-// discard reads a body to its end. It fails with errBodyTooLong after maxBuffered.
-func discard(b io.Reader) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(b, maxBuffered+1))
-	if err == nil && n > maxBuffered {
-		err = errBodyTooLong
-	}
-	return err
-}
-
 func (q *request) workspaceName() string {
 	if q.workspace == nil {
 		return ""
@@ -312,28 +300,6 @@
 	return q.call.LastEventID
 }
 
-// startStallTimer starts the timer that runs until the first event of a stream, or until
-// another response has been buffered.
-func (e *exchange) startStallTimer() {
-	e.stallTimer = time.AfterFunc(e.firstByteStall(), e.runTakeover)
-}
-
-// firstByteStall returns how long the target may take to the first event of a stream, or
-// to the end of another response. For a stream it is at most the limit between two events
-// plus the route's goal.
-func (e *exchange) firstByteStall() time.Duration {
-	q := e.request
-	if q.route.Kind != plan.Stream {
-		return max(plainStallFactor*q.route.Goal, firstByteStallFactor*e.choice.ExpectedFirstByte)
-	}
-	return min(max(minFirstByteStall, firstByteStallFactor*e.choice.ExpectedFirstByte), q.streamStall()+q.route.Goal)
-}
-
-// streamStall returns how long a stream may go without an event after an earlier one.
-func (q *request) streamStall() time.Duration {
-	return max(streamStallFactor*q.route.Gap, callerStallTimeout-failoverMargin)
-}
-
 // handle reads the beginning of a response by its status and headers. A successful response
 // needs the target's receipt and the request's id; without them it is not accepted as the
 // target's response. So does one that callers would take for a refusal which has run nothing.
@@ -364,67 +330,6 @@
 	}
 }
 
-// readPlain reads a response that is no stream, up to maxBuffered. A server error other than
-// 504 is kept as the fallback, as another target may succeed. Only a success may be longer.
-func (e *exchange) readPlain(success bool) error {
-	a := e.response
-	b, n, err := readBlocks(io.LimitReader(a.Body, maxBuffered+1))
-	if err != nil {
-		e.broken = true
-		return fmt.Errorf("read response body: %w", err)
-	}
-	e.plain = &response{status: a.StatusCode, header: responseHeaders(a.Header), body: b, whole: n <= maxBuffered, length: a.ContentLength}
-	switch {
-	case !e.plain.whole && success:
-		return nil
-	case !e.plain.whole:
-		e.plain, e.broken = nil, true
-		return fmt.Errorf("status %d: %w", a.StatusCode, errBodyTooLong)
-	}
-	e.keep(a)
-	e.outcome = pool.Good
-	switch {
-	case success:
-		e.sound = !unframed(a)
-		return nil
-	case a.StatusCode >= http.StatusInternalServerError && a.StatusCode != http.StatusGatewayTimeout:
-		e.outcome = pool.Failed
-		e.fallback = e.plain
-		return fmt.Errorf("status %d: %w", a.StatusCode, errServerError)
-	}
-	e.outcome = pool.Neutral
-	if e.continues {
-		return fmt.Errorf("status %d: %w", a.StatusCode, errDeclined)
-	}
-	return nil
-}
-
-// Sizes in bytes of the blocks that a response is read into: each is twice as large as the one
-// before.
-const (
-	minBlock = 2 << 10
-	maxBlock = 64 << 10
-)
-
-// readBlocks reads r to its end.
-func readBlocks(r io.Reader) (blocks [][]byte, size int, err error) {
-	for next := minBlock; ; next = min(maxBlock, 2*next) {
-		b, n := make([]byte, next), 0
-		for n < len(b) && err == nil {
-			var m int
-			m, err = r.Read(b[n:])
-			n += m
-		}
-		blocks, size = append(blocks, b[:n]), size+n
-		if errors.Is(err, io.EOF) {
-			return blocks, size, nil
-		}
-		if err != nil {
-			return nil, size, err
-		}
-	}
-}
-
 // forward forwards the response to the caller.
 func (e *exchange) forward() result {
 	if e.plain != nil {
@@ -433,39 +338,6 @@
 	return e.forwardStream()
 }
 
-// forwardPlain forwards a response that is no stream. One that was not read to its end is
-// forwarded while it is being read; if the target breaks off, the caller's connection is broken
-// as well.
-func (e *exchange) forwardPlain() result {
-	q, a := e.request, e.response
-	if !e.plain.whole && !e.takeover.settle() {
-		return result{sent: true, mayHaveRun: true, err: errStalled}
-	}
-	if e.stallTimer != nil {
-		e.stallTimer.Stop()
-	}
-	e.recordFirstByte()
-	e.plain.write(q)
-	if !e.plain.whole {
-		if err := e.copyRest(); err != nil {
-			return result{sent: true, mayHaveRun: true, err: err, abort: fmt.Sprintf("cut: %v", err)}
-		}
-		e.keep(a)
-		e.outcome = pool.Good
-	}
-	q.finish(e.plain.status, "answered")
-	return result{done: true}
-}
-
-// copyRest forwards the part of the response that was not read into the buffer.
-func (e *exchange) copyRest() error {
-	n, err := io.Copy(e.request.writer, io.LimitReader(e.response.Body, maxBody-maxBuffered))
-	if err == nil && n == maxBody-maxBuffered {
-		err = errBodyTooLong
-	}
-	return err
-}
-
 // recordFirstByte reports to the pool how long the first event of a stream took, or the
 // reading of another response into the buffer.
 func (e *exchange) recordFirstByte() {
@@ -482,57 +354,6 @@
 	})
 }
 
-// response is a target's response that is not streamed.
-type response struct {
-	status int
-	header http.Header
-	// body is in blocks, which need not be copied while it grows.
-	body [][]byte
-	// whole is false if body holds only the beginning of the body, whose size in bytes is then
-	// length, or -1 if unknown.
-	whole  bool
-	length int64
-}
-
-// write writes the headers and body to the caller.
-func (o *response) write(q *request) {
-	h := q.writer.Header()
-	for k, v := range o.header {
-		h[k] = v
-	}
-	q.closeIfStopping()
-	q.writer.WriteHeader(o.status)
-	for _, b := range o.body {
-		if _, err := q.writer.Write(b); err != nil {
-			q.summary.detail = err.Error()
-			return
-		}
-	}
-}
-
-// hopByHopHeaders are the headers that concern one connection only.
-var hopByHopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
-
-// endToEnd returns a copy of h without the hop-by-hop headers.
-func endToEnd(h http.Header) http.Header {
-	o := h.Clone()
-	for _, v := range h["Connection"] {
-		for n := range strings.SplitSeq(v, ",") {
-			o.Del(textproto.TrimString(n))
-		}
-	}
-	for _, n := range hopByHopHeaders {
-		o.Del(n)
-	}
-	return o
-}
-
 // unframed reports whether the end of the body is the end of the connection, so that a response
 // that was broken off may look complete.
 func unframed(a *http.Response) bool { return a.ContentLength < 0 && len(a.TransferEncoding) == 0 }
-
-// responseHeaders returns the end-to-end headers of a response.
-func responseHeaders(h http.Header) http.Header { return endToEnd(h) }
