--- a/core/peers/fleet_test.go
+++ b/core/peers/fleet_test.go
@@ -137,7 +137,7 @@
 }
 
 // fleets are the numbers of fronts and data centres that the promises are checked for.
-var fleets = []struct{ fronts, zones int }{{68, 6}, {68, 1}, {300, 1}, {300, 6}}
+var fleets = []struct{ fronts, zones int }{{68, 6}, {68, 1}, {300, 1}, {300, 6}, {1000, 1}}
 
 func all(int, int) bool { return true }
 
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -64,7 +64,7 @@
 	// Until then a front uses up to settlingParts times its even part of a second's allowance,
 	// among the fronts that it knows or minSettling if those are fewer.
 	settlingParts = 2
-	minSettling   = 12
+	minSettling   = 10
 	// unheardParts is how many times its even part of what is left of an allowance a front uses
 	// until the others have heard of it. Callers are spread unevenly over fronts.
 	unheardParts = 2
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -382,8 +382,8 @@
 			if most := burst + rate*(2*found).Seconds() + 0.25*(rate*window.Seconds()+burst); used > most {
 				t.Errorf("%d fronts, %v times the rate: used %.0f, want at most %.0f", n, demand, used, most)
 			}
-			if demand == 1 && refused > 2 {
-				t.Errorf("%d fronts: %d of 200 requests within the rate were refused", n, refused)
+			if demand == 1 && refused > 0 {
+				t.Errorf("%d fronts: %d of 200 requests within the rate were refused, want none", n, refused)
 			}
 		}
 	}
