core/peers: up to 64 sightings in a heartbeat

Cause: with 40, 1.3 in 1,000 live fronts of 1,000 counted as dead, and 1.4 beside a partition, where 1 is asked. With 64 TestLiveFrontsCountAsLiveInLargeFleets and TestPartitionIsSeenFromBothSides pass at 1,000. Fleets of up to 480 fronts send as many as before. The cost at 1,000 fronts is 640 B in a heartbeat (calculated).

--- a/core/peers/sighting.go
+++ b/core/peers/sighting.go
@@ -11,7 +11,7 @@
 	// A heartbeat carries sightings of one peer in sightingShare, but of at least minSightings
 	// and at most maxSightings.
 	minSightings  = 8
-	maxSightings  = 40
+	maxSightings  = 64
 	sightingShare = 12
 	// beatUnit is the unit of beatNumber. No front sends two heartbeats in less.
 	beatUnit = 50 * time.Millisecond
