core/quota, core/peers: files of one concept each; what a front hasn't reported

part.go has what a front uses before it and the others know of each other, recipients.go whom heartbeats go to. Unheard usage is called unreported.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -13,7 +13,7 @@
 // All fronts may have started at once and not know each other yet. For its first moments a
 // front therefore uses a part of a second's allowance only, the smaller the more fronts it knows.
 //
-// Until the others have heard what a front uses, each may use what is left. So that a fleet that
+// Until heartbeats have told the others what a front uses, each may use what is left. So that a fleet that
 // is refused, and gets a little back all at once, doesn't use it many times over, a front uses
 // only twice its even part of what is left until then, once little is left.
 //
@@ -58,24 +58,6 @@
 	riseTimeConstant = 1.0
 )
 
-const (
-	// settleTime is how long fronts that have started together take to find each other.
-	settleTime = 600 * time.Millisecond
-	// Until then a front uses up to settlingParts times its even part of a second's allowance,
-	// among the fronts that it knows or minSettling if those are fewer.
-	settlingParts = 2
-	minSettling   = 10
-	// unheardParts is how many times its even part of what is left of an allowance a front uses
-	// until the others have heard of it. Callers are spread unevenly over fronts.
-	unheardParts = 2
-	// scarceShare is the part of an allowance below which what is left of it is divided so.
-	scarceShare = 0.1
-	// heartbeatInterval is the longest time between two heartbeats, and reach the number of
-	// fronts that each goes to.
-	heartbeatInterval = 250 * time.Millisecond
-	reach             = 24
-)
-
 // Use is one front's usage of one workspace's allowance, in requests or tokens, whichever
 // the allowance counts.
 type Use struct {
@@ -96,11 +78,11 @@
 	// limit is the largest usage in a window that this front permits, as of updated.
 	limit   float64
 	updated time.Duration
-	// used is this front's own usage since it started, and heard what it was at heardAt: the
-	// others have heard of that, or will have at the next change of heardAt.
-	used    float64
-	heard   float64
-	heardAt time.Duration
+	// used is this front's own usage since it started, and reported what it was at reportedAt,
+	// of which heartbeats have told the others since.
+	used       float64
+	reported   float64
+	reportedAt time.Duration
 }
 
 // level returns how much of the allowance is left.
@@ -221,7 +203,7 @@
 	if now < l.settled && a.used >= l.settling(a) {
 		return l.settled - now, false
 	}
-	if wait := l.unheard(now, a, n); wait > 0 {
+	if wait := l.reportWait(now, a, n); wait > 0 {
 		return wait, false
 	}
 	a.recent.add(now, n)
@@ -229,30 +211,6 @@
 	return 0, true
 }
 
-// unheard returns how long a request of cost n waits because this front has used its part of what
-// is left until the others have heard of it; 0 if it hasn't. If that part is less than one
-// request, the request fits with the probability that makes it up on average.
-func (l *Limiter) unheard(now time.Duration, a *account, n float64) time.Duration {
-	d := heartbeatInterval * time.Duration(max(1, (l.fronts+reach-1)/reach))
-	if now-a.heardAt >= d {
-		a.heard, a.heardAt = a.used, now
-	}
-	u := a.used - a.heard
-	if l.fronts <= unheardParts || a.level()+u >= scarceShare*l.permitted(a) {
-		return 0
-	}
-	part := unheardParts * (a.level() + u) / float64(l.fronts)
-	if u+n <= part || u <= 0 && l.random.Float64()*n < part {
-		return 0
-	}
-	return a.heardAt + d - now
-}
-
-// settling returns how much of an account this front uses until it knows the others.
-func (l *Limiter) settling(a *account) float64 {
-	return settlingParts * max(a.workspace.Rate, a.workspace.Burst) / float64(max(minSettling, l.fronts))
-}
-
 // Refund puts back n that was taken for a request which did not run.
 func (l *Limiter) Refund(now time.Duration, workspace string, n float64) {
 	if a := l.accounts[l.hash(workspace)]; a != nil && a.workspace.Rate > 0 {
