--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -8,9 +8,10 @@
 // front that is asked to resume a stream that it has no record of asks the keepers. Records
 // are dropped some time after their last use, and are lost if the front and all keepers are.
 //
-// Without a record the origin is still certain if targets of only one version have been
-// listed since the stream began, or for as long as records are kept if it isn't known when it
-// began. Otherwise the stream can't go on.
+// Without a record the origin is still certain if targets of only one version can have been
+// used since the stream began, or for as long as records are kept if it isn't known when it
+// began. A front uses a target for up to ListLag after it is no longer listed. Otherwise the
+// stream can't go on.
 //
 // # Usage
 //
@@ -35,6 +36,12 @@
 	maxRecords = 1 << 16
 	// reports is how many heartbeats a record is reported in, as single ones get lost.
 	reports = 2
+	// ListLag is how much older than the platform's list the list may be by which a front uses
+	// targets.
+	ListLag = 5 * time.Second
+	// versionsKept is how long versions are remembered that are no longer listed. Streams that
+	// can have begun earlier are of unknown origin.
+	versionsKept = 10 * time.Minute
 )
 
 // Origin is what began a stream.
@@ -99,9 +106,10 @@
 	return &Table{keep: MinKeep, records: map[uint64]record{}, services: map[string]*service{}}
 }
 
-// SetKeep sets how long records are kept after their last use. It should be longer than
-// callers try to get a stream, and is at least MinKeep.
-func (t *Table) SetKeep(d time.Duration) { t.keep = max(d, MinKeep) }
+// SetKeep sets how long records are kept after their last use, if that is longer than before:
+// the callers of streams that have begun still wait. It should be longer than callers try to get
+// a stream.
+func (t *Table) SetKeep(d time.Duration) { t.keep = max(d, t.keep) }
 
 // Add records a stream that has begun or goes on at this front, and is to be reported.
 func (t *Table) Add(now time.Duration, id uint64, o Origin) {
@@ -167,7 +175,7 @@
 		for v, e := range s.versions {
 			if e.listed {
 				s.versions[v] = version{last: now}
-			} else if now-e.last > t.keep {
+			} else if now-e.last > versionsKept {
 				delete(s.versions, v)
 			}
 		}
@@ -177,7 +185,7 @@
 	}
 }
 
-// Interrupt notes that the list of targets may have lacked changes until now, so that
+// Interrupt notes that changes of the list of targets may have been missed until now, so that
 // versions may have been listed that this front has not seen.
 func (t *Table) Interrupt(now time.Duration) {
 	for _, s := range t.services {
@@ -185,17 +193,19 @@
 	}
 }
 
-// Only returns the version of a service if targets of no other one have been listed lately: for
-// as long as the stream can have begun ago, or as records are kept if that is shorter.
+// Only returns the version of a service if a stream that has begun at most the given time ago can
+// have begun at no other one. A negative time means that it isn't known when the stream began.
 func (t *Table) Only(now time.Duration, name string, begun time.Duration) (string, bool) {
-	begun = min(begun, t.keep)
+	if begun < 0 {
+		begun = t.keep
+	}
 	s := t.services[name]
-	if s == nil || now-s.since < begun {
+	if s == nil || begun > versionsKept-ListLag || now-s.since < begun+ListLag {
 		return "", false
 	}
 	only, n := "", 0
 	for v, e := range s.versions {
-		if e.listed || now-e.last <= begun {
+		if e.listed || now-e.last <= begun+ListLag {
 			only = v
 			n++
 		}
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"testing"
 	"time"
 
@@ -59,39 +58,41 @@
 	}
 }
 
-// The only version is certain once the list has been known, without another version, for as
-// long as records are kept.
+// The only version is certain once the list has been known, without another version, since the
+// stream can have begun, or for as long as records are kept, and for ListLag before that: other
+// fronts may have used targets that were no longer listed.
 func TestOnlyVersion(t *testing.T) {
 	one, two := map[string][]string{"chat": {"v1", "v1"}}, map[string][]string{"chat": {"v1", "v2"}}
+	const unknown = -1
 	for _, c := range []struct {
 		name string
 		do   func(*origin.Table)
 		now  time.Duration
 		want bool
-		// begun is how long ago the stream can have begun; 0 if it isn't known.
+		// begun is how long ago the stream can have begun.
 		begun time.Duration
 	}{
-		{"just started", func(b *origin.Table) { b.SetVersions(0, one) }, 29 * s, false, 0},
-		{"one for long", func(b *origin.Table) { b.SetVersions(0, one); b.SetVersions(10*s, one) }, 31 * s, true, 0},
-		{"two", func(b *origin.Table) { b.SetVersions(0, two) }, 40 * s, false, 0},
-		{"two lately", func(b *origin.Table) { b.SetVersions(0, two); b.SetVersions(10*s, one) }, 39 * s, false, 0},
-		{"two long ago", func(b *origin.Table) { b.SetVersions(0, two); b.SetVersions(10*s, one) }, 41 * s, true, 0},
-		{"none listed now", func(b *origin.Table) { b.SetVersions(0, one); b.SetVersions(20*s, nil) }, 40 * s, true, 0},
-		{"list interrupted", func(b *origin.Table) { b.SetVersions(0, one); b.Interrupt(20 * s) }, 40 * s, false, 0},
-		{"unknown version", func(b *origin.Table) { b.SetVersions(0, map[string][]string{"chat": {""}}) }, 40 * s, false, 0},
-		{"longer streams", func(b *origin.Table) { b.SetKeep(60 * s); b.SetVersions(0, one) }, 40 * s, false, 0},
-		{"began before the list was known", func(b *origin.Table) { b.SetVersions(0, one) }, 9 * s, false, 10 * s},
-		{"began since the list is known", func(b *origin.Table) { b.SetVersions(0, one) }, 11 * s, true, 10 * s},
-		{"began before an interruption", func(b *origin.Table) { b.SetVersions(0, one); b.Interrupt(20 * s) }, 29 * s, false, 10 * s},
+		{"just started", func(b *origin.Table) { b.SetVersions(0, one) }, 34 * s, false, unknown},
+		{"one for long", func(b *origin.Table) { b.SetVersions(0, one); b.SetVersions(10*s, one) }, 36 * s, true, unknown},
+		{"two", func(b *origin.Table) { b.SetVersions(0, two) }, 99 * s, false, unknown},
+		{"two lately", func(b *origin.Table) { b.SetVersions(0, two); b.SetVersions(10*s, one) }, 44 * s, false, unknown},
+		{"two long ago", func(b *origin.Table) { b.SetVersions(0, two); b.SetVersions(10*s, one) }, 46 * s, true, unknown},
+		{"none listed now", func(b *origin.Table) { b.SetVersions(0, one); b.SetVersions(20*s, nil) }, 45 * s, true, unknown},
+		{"list interrupted", func(b *origin.Table) { b.SetVersions(0, one); b.Interrupt(20 * s) }, 54 * s, false, unknown},
+		{"unknown version", func(b *origin.Table) { b.SetVersions(0, map[string][]string{"chat": {""}}) }, 45 * s, false, unknown},
+		{"longer streams", func(b *origin.Table) { b.SetKeep(60 * s); b.SetVersions(0, one) }, 64 * s, false, unknown},
+		{"longer streams before", func(b *origin.Table) { b.SetKeep(60 * s); b.SetKeep(5 * s); b.SetVersions(0, one) }, 64 * s, false, unknown},
+		{"began before the list was known", func(b *origin.Table) { b.SetVersions(0, one) }, 14 * s, false, 10 * s},
+		{"began since the list is known", func(b *origin.Table) { b.SetVersions(0, one) }, 16 * s, true, 10 * s},
+		{"began before an interruption", func(b *origin.Table) { b.SetVersions(0, one); b.Interrupt(20 * s) }, 34 * s, false, 10 * s},
 		{"began beside another version", func(b *origin.Table) { b.SetVersions(0, two); b.SetVersions(10*s, one) }, 19 * s, false, 10 * s},
-		{"began after another version", func(b *origin.Table) { b.SetVersions(0, two); b.SetVersions(10*s, one) }, 21 * s, true, 10 * s},
-		{"began long ago", func(b *origin.Table) { b.SetVersions(0, one) }, 31 * s, true, 99 * s},
+		{"began soon after another version", func(b *origin.Table) { b.SetVersions(0, two); b.SetVersions(10*s, one) }, 24 * s, false, 10 * s},
+		{"began after another version", func(b *origin.Table) { b.SetVersions(0, two); b.SetVersions(10*s, one) }, 26 * s, true, 10 * s},
+		{"began longer ago than records are kept", func(b *origin.Table) { b.SetVersions(0, two); b.SetVersions(10*s, one) }, 100 * s, false, 99 * s},
+		{"began longer ago than versions are kept", func(b *origin.Table) { b.SetVersions(0, one) }, time.Hour, false, 10 * time.Minute},
 	} {
 		b := origin.New()
 		c.do(b)
-		if c.begun == 0 {
-			c.begun = math.MaxInt64
-		}
 		if v, ok := b.Only(c.now, "chat", c.begun); ok != c.want || ok && v != "v1" {
 			t.Errorf("%s: got %q, %v, want %v", c.name, v, ok, c.want)
 		}
--- a/core/spent/spent.go
+++ b/core/spent/spent.go
@@ -10,8 +10,8 @@
 // # Usage
 //
 //	e := spent.New()
-//	d := e.Estimate(now, "route", 11200*time.Millisecond)
-//	m := e.Longest("route")
+//	d := e.Estimate(now, "route", 11200*time.Millisecond, false)
+//	m, ok := e.Limit("route")
 package spent
 
 import "time"
@@ -24,9 +24,15 @@
 // firstAttempt is the smallest fraction of the longest wait that a first attempt has.
 const firstAttempt = 0.84
 
+// minSamples is the number of requests after which the time limit of a route's callers is known:
+// after a fault that many callers notice, nearly all requests are later attempts for a while.
+const minSamples = 16
+
 // longest is the longest wait of a route in the current and the previous window.
 type longest struct {
 	current, previous time.Duration
+	// samples is the number of requests that may be first attempts, up to minSamples.
+	samples int
 	// started is when the current window began.
 	started time.Duration
 }
@@ -41,8 +47,9 @@
 
 // Estimate records a request whose caller will wait for the given time from now, and
 // returns how long the caller has spent on earlier attempts: 0 for a first attempt, and
-// if wait is not above 0, which means that it is unknown.
-func (e *Estimator) Estimate(now time.Duration, route string, wait time.Duration) time.Duration {
+// if wait is not above 0, which means that it is unknown. Later is true if the request is known
+// to be a later attempt.
+func (e *Estimator) Estimate(now time.Duration, route string, wait time.Duration, later bool) time.Duration {
 	if wait <= 0 {
 		return 0
 	}
@@ -55,6 +62,9 @@
 		l.previous, l.current, l.started = l.current, 0, now
 	}
 	l.current = max(l.current, wait)
+	if !later {
+		l.samples = min(l.samples+1, minSamples)
+	}
 	m := max(l.current, l.previous)
 	if float64(wait) >= firstAttempt*float64(m) {
 		return 0
@@ -62,11 +72,12 @@
 	return m - wait
 }
 
-// Longest returns the longest wait that was seen lately on a route; 0 if none was.
-func (e *Estimator) Longest(route string) time.Duration {
+// Limit returns the longest time for which callers of a route wait from their first attempt on.
+// It reports false if too few requests were seen.
+func (e *Estimator) Limit(route string) (time.Duration, bool) {
 	l := e.routes[route]
-	if l == nil {
-		return 0
+	if l == nil || l.samples < minSamples {
+		return 0, false
 	}
-	return max(l.current, l.previous)
+	return time.Duration(float64(max(l.current, l.previous)) / firstAttempt), true
 }
--- a/io/front/codec.go
+++ b/io/front/codec.go
@@ -109,9 +109,11 @@
 	// of a stamp, and PutDrain applies one change. Both return once the change is in force.
 	ListDrains(at drain.Stamp, listed []drain.Record)
 	PutDrain(r drain.Record)
-	// ConfirmTargets reports that the platform has answered and that the documents held
-	// are current.
-	ConfirmTargets()
+	// ConfirmTargets reports that the platform has answered, and that all changes up to a position
+	// were passed on.
+	ConfirmTargets(at Position)
+	// PlansSkipped reports that the platform had plans between the last two that were passed on.
+	PlansSkipped()
 	// Disconnected reports that a call to the platform has failed.
 	Disconnected(err error)
 	// PrimaryWatcher reports whether this front is one of the few that watch the
@@ -123,4 +125,20 @@
 // until ctx ends.
 type Source interface {
 	Run(ctx context.Context, s Sink)
+	// Position returns the position of the platform's latest change, as of some time during the
+	// call.
+	Position(ctx context.Context) (Position, error)
+}
+
+// Position is a place in the sequence of the platform's changes. The zero Position is before all
+// of them.
+type Position struct {
+	// Era is the number of times that the platform was restored from an older copy. Revisions of
+	// different eras can't be compared.
+	Era, Revision uint64
+}
+
+// covers reports whether all changes up to o are among those up to p.
+func (p Position) covers(o Position) bool {
+	return p.Era == o.Era && p.Revision >= o.Revision && p.Revision > 0
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -88,9 +88,11 @@
 	meter    *meter
 	codec    Codec
 	source   Source
-	dialer   *dial.Dialer
-	gossip   *gossip.Transport
-	loop     *actor.Loop[*state]
+	// positions reads the platform's position from source.
+	positions positions
+	dialer    *dial.Dialer
+	gossip    *gossip.Transport
+	loop      *actor.Loop[*state]
 	// plan is the current plan.
 	plan atomic.Pointer[plan.Plan]
 	// incarnation is the start time in Unix milliseconds. It tells peers this process
@@ -138,6 +140,7 @@
 		telem:       t,
 		codec:       c,
 		source:      p,
+		positions:   positions{source: p},
 		dialer:      dial.New(t.Log),
 		incarnation: uint64(time.Now().UnixMilli()),
 		joined:      make(chan struct{}),
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net/http"
 	"time"
 
@@ -27,9 +26,6 @@
 	// begunSlack is added to the time that a resumed stream can have begun ago, for what a
 	// request is on its way and for differences between callers' clocks.
 	begunSlack = time.Second
-	// maxListAge is the age of the target list from which versions may have been listed that
-	// this front has not seen. Some fronts confirm their lists every 4 s.
-	maxListAge = 5 * time.Second
 )
 
 // resumes reports whether the caller resumes a stream that an earlier request has begun.
@@ -54,11 +50,8 @@
 	if d, ok := q.begunAgo(); ok {
 		r.BegunMs = proto.Uint32(uint32(d.Milliseconds()))
 	}
-	o := actor.Ask(q.front.loop, func(now time.Duration, s *state) origin.Origin { return s.findOrigin(now, r) })
-	if o.Version == "" {
-		o = q.front.askOrigin(ctx, r)
-	}
-	if o.Version == "" {
+	o, ok := q.front.originOf(ctx, r)
+	if !ok {
 		return http.StatusServiceUnavailable, "unknown-version", originRetry
 	}
 	q.origin = &o
@@ -75,31 +68,44 @@
 }
 
 // begunAgo returns how long ago the stream that the caller resumes can have begun at most: callers
-// count the time that they will still wait from their first attempt, for which they wait as long
-// as the route allows, or longer if this front has seen that. It reports false if the caller
-// doesn't say how long it will wait.
+// count the time that they will still wait from their first attempt. It reports false if the caller
+// doesn't say how long it will wait, or if this front hasn't seen enough callers of the route to
+// know for how long they wait in all. That may be longer than the route's timeout.
 func (q *request) begunAgo() (time.Duration, bool) {
-	if q.call.Timeout <= 0 || q.route.Timeout <= 0 {
+	if q.call.Timeout <= 0 {
 		return 0, false
 	}
-	longest := actor.Ask(q.front.loop, func(_ time.Duration, s *state) time.Duration { return s.spent.Longest(q.route.Name) })
-	return max(longest, q.route.Timeout, q.call.Timeout) - q.call.Timeout + begunSlack, true
+	var l time.Duration
+	ok := actor.Ask(q.front.loop, func(_ time.Duration, s *state) (ok bool) {
+		l, ok = s.spent.Limit(q.route.Name)
+		return ok
+	})
+	return max(l, q.route.Timeout, q.call.Timeout) - q.call.Timeout + begunSlack, ok
+}
+
+// finding is what a front knows of the origin of a stream.
+type finding struct {
+	origin.Origin
+	// recorded is true if the origin is from a record. Otherwise it is the only version that was
+	// listed up to the position at.
+	recorded bool
+	at       Position
 }
 
 // findOrigin returns what this front knows of the origin of a stream: its record, or the only
-// version that the stream can have begun at. It returns the zero Origin if it knows neither.
-func (s *state) findOrigin(now time.Duration, r *wire.OriginRequest) origin.Origin {
+// version that the stream can have begun at. It returns the zero finding if it knows neither.
+func (s *state) findOrigin(now time.Duration, r *wire.OriginRequest) finding {
 	if o, ok := s.origins.Find(now, r.Stream); ok && r.Stream != 0 {
-		return o
+		return finding{Origin: o, recorded: true}
 	}
-	begun := time.Duration(math.MaxInt64)
+	begun := time.Duration(-1)
 	if r.BegunMs != nil {
 		begun = time.Duration(r.GetBegunMs()) * time.Millisecond
 	}
 	if v, ok := s.origins.Only(now, r.Service, begun); ok {
-		return origin.Origin{Service: r.Service, Version: v}
+		return finding{Origin: origin.Origin{Service: r.Service, Version: v}, at: s.position}
 	}
-	return origin.Origin{}
+	return finding{}
 }
 
 // recordOrigin records what began the stream that is about to be forwarded, or goes on with
@@ -118,40 +124,80 @@
 	})
 }
 
-// askOrigin asks the keepers of a stream what began it, all at once, and takes the first
-// answer. It returns the zero Origin if none of them knows.
-func (f *Front) askOrigin(ctx context.Context, r *wire.OriginRequest) origin.Origin {
+// originOf returns what began a stream, as this front or one of the stream's keepers knows it. It
+// reports false if none of them is certain.
+func (f *Front) originOf(ctx context.Context, r *wire.OriginRequest) (origin.Origin, bool) {
+	own := actor.Ask(f.loop, func(now time.Duration, s *state) finding { return s.findOrigin(now, r) })
+	if own.recorded {
+		return own.Origin, true
+	}
+	var only []finding
+	for _, g := range append(f.askOrigin(ctx, r), own) {
+		if g.recorded {
+			return g.Origin, true
+		}
+		if g.Version != "" {
+			only = append(only, g)
+		}
+	}
+	if len(only) == 0 {
+		return origin.Origin{}, false
+	}
+	// The stream may have begun at a version that none of these fronts knows of yet.
+	at, err := f.positions.Ask(ctx)
+	if err != nil {
+		f.log("position", "platform's position unknown", "error", err.Error())
+		return origin.Origin{}, false
+	}
+	for _, g := range only {
+		if g.at.covers(at) {
+			return g.Origin, true
+		}
+	}
+	return origin.Origin{}, false
+}
+
+// askOrigin asks the keepers of a stream what began it, all at once. It returns their findings
+// as soon as one of them has a record.
+func (f *Front) askOrigin(ctx context.Context, r *wire.OriginRequest) []finding {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ps := actor.Ask(f.loop, func(now time.Duration, s *state) []string {
 		return share.Nearest(r.Stream, s.peers.Serving(now), keepers)
 	})
-	found := make(chan origin.Origin, len(ps))
+	found := make(chan finding, len(ps))
 	for _, p := range ps {
 		go f.runAsk(ctx, p, r, found)
 	}
+	var gs []finding
 	for range ps {
-		if o := <-found; o.Version != "" {
-			return o
+		g := <-found
+		gs = append(gs, g)
+		if g.recorded {
+			break
 		}
 	}
-	return origin.Origin{}
+	return gs
 }
 
-// runAsk asks a peer and sends its answer to found, which has room for it: the zero Origin if
+// runAsk asks a peer and sends its answer to found, which has room for it: the zero finding if
 // the peer doesn't know or can't be asked.
-func (f *Front) runAsk(ctx context.Context, peer string, r *wire.OriginRequest, found chan<- origin.Origin) {
+func (f *Front) runAsk(ctx context.Context, peer string, r *wire.OriginRequest, found chan<- finding) {
 	a, err := f.gossip.Origin(ctx, peer, r)
 	if err != nil && ctx.Err() == nil {
 		f.log("origin", "fetch of a stream's origin from peer failed", "peer", peer, "error", err.Error())
 	}
-	found <- origin.Origin{Service: a.GetService(), Version: a.GetVersion()}
+	found <- finding{
+		Origin:   origin.Origin{Service: a.GetService(), Version: a.GetVersion()},
+		recorded: a.GetRecorded(),
+		at:       Position{Era: a.GetEra(), Revision: a.GetRevision()},
+	}
 }
 
 // Origin implements wire.DRPCFrontServer.
 func (f *Front) Origin(_ context.Context, r *wire.OriginRequest) (*wire.OriginReply, error) {
-	o := actor.Ask(f.loop, func(now time.Duration, s *state) origin.Origin { return s.findOrigin(now, r) })
-	return &wire.OriginReply{Service: o.Service, Version: o.Version}, nil
+	g := actor.Ask(f.loop, func(now time.Duration, s *state) finding { return s.findOrigin(now, r) })
+	return &wire.OriginReply{Service: g.Service, Version: g.Version, Recorded: g.recorded, Era: g.at.Era, Revision: g.at.Revision}, nil
 }
 
 // reportOrigins returns the streams that peers are still to be told of, and the peers.
@@ -186,7 +232,7 @@
 // checkList notes that this front may have missed versions that were listed meanwhile, if for
 // too long neither the platform nor a peer has confirmed its target list.
 func (s *state) checkList(now time.Duration) {
-	if min(s.roster.Age(now), now-s.listConfirmed) > maxListAge {
+	if min(s.roster.Age(now), now-s.listConfirmed) > origin.ListLag {
 		s.origins.Interrupt(now)
 	}
 }
--- a/io/front/origin_test.go
+++ b/io/front/origin_test.go
@@ -18,18 +18,19 @@
 	s.origins.SetVersions(0, map[string][]string{"chat": {"v1"}})
 	now := 2 * origin.MinKeep
 	s.origins.Add(now, 7, v2)
+	s.position = Position{Era: 1, Revision: 9}
 	for _, c := range []struct {
 		name string
 		now  time.Duration
 		r    *wire.OriginRequest
-		want origin.Origin
+		want finding
 	}{
-		{"record", now, &wire.OriginRequest{Stream: 7, Service: "chat"}, v2},
-		{"record of another service", now, &wire.OriginRequest{Stream: 7, Service: "other"}, v2},
-		{"only version", now, &wire.OriginRequest{Stream: 8, Service: "chat"}, v1},
-		{"only version, stream not named", now, &wire.OriginRequest{Service: "chat"}, v1},
-		{"several services", now, &wire.OriginRequest{Stream: 8}, origin.Origin{}},
-		{"just started", time.Second, &wire.OriginRequest{Service: "chat"}, origin.Origin{}},
+		{"record", now, &wire.OriginRequest{Stream: 7, Service: "chat"}, finding{Origin: v2, recorded: true}},
+		{"record of another service", now, &wire.OriginRequest{Stream: 7, Service: "other"}, finding{Origin: v2, recorded: true}},
+		{"only version", now, &wire.OriginRequest{Stream: 8, Service: "chat"}, finding{Origin: v1, at: s.position}},
+		{"only version, stream not named", now, &wire.OriginRequest{Service: "chat"}, finding{Origin: v1, at: s.position}},
+		{"several services", now, &wire.OriginRequest{Stream: 8}, finding{}},
+		{"just started", time.Second, &wire.OriginRequest{Service: "chat"}, finding{}},
 	} {
 		if got := s.findOrigin(c.now, c.r); got != c.want {
 			t.Errorf("%s: got %+v, want %+v", c.name, got, c.want)
@@ -63,3 +64,21 @@
 		}
 	}
 }
+
+// A finding covers a position if it is as new and of the same era.
+func TestPositionCovers(t *testing.T) {
+	for _, c := range []struct {
+		p, o Position
+		want bool
+	}{
+		{Position{}, Position{}, false},
+		{Position{Revision: 5}, Position{Revision: 5}, true},
+		{Position{Revision: 5}, Position{Revision: 6}, false},
+		{Position{Era: 1, Revision: 9}, Position{Era: 2, Revision: 5}, false},
+		{Position{Era: 2, Revision: 9}, Position{Era: 1, Revision: 5}, false},
+	} {
+		if got := c.p.covers(c.o); got != c.want {
+			t.Errorf("%+v covers %+v: got %v", c.p, c.o, got)
+		}
+	}
+}
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -294,7 +294,7 @@
 		s.budget.CountRequest(now, q.service)
 		s.changed = true
 		q.summary.peers, _ = s.peers.Count(now)
-		q.priorTime = s.spent.Estimate(now, q.route.Name, q.call.Timeout)
+		q.priorTime = s.spent.Estimate(now, q.route.Name, q.call.Timeout, q.resumes())
 		q.expectedFirstByte = s.pool.ExpectedFirstByte(q.service, q.call.PromptTokens)
 		if q.route.Kind == plan.Stream {
 			q.expectedEvents = s.length.Expect(q.route.Name, q.call.OutputHint)
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -72,6 +72,8 @@
 	nearRefilled time.Duration
 	// reapplyAt is when the next missing target expires.
 	reapplyAt time.Duration
+	// position is the position up to which the platform's changes have arrived.
+	position Position
 	// listConfirmed is when a live peer's platform connection last confirmed the target list
 	// that this front holds.
 	listConfirmed time.Duration
@@ -211,6 +213,7 @@
 func (f *Front) ReplaceTargets(d *spec.Directory) {
 	f.updateList(func(now time.Duration, s *state) {
 		s.roster.ApplySnapshot(now, d)
+		s.origins.Interrupt(now) // changes before the snapshot may have been missed
 		f.telem.Log.Info("target list read", "revision", d.Revision, "targets", len(d.Replicas))
 	})
 }
@@ -241,13 +244,19 @@
 }
 
 // ConfirmTargets implements Sink.
-func (f *Front) ConfirmTargets() {
+func (f *Front) ConfirmTargets(at Position) {
 	f.loop.Post(func(now time.Duration, s *state) {
 		f.reconnected(now, s)
 		s.roster.Confirm(now)
+		s.position = at
 	})
 }
 
+// PlansSkipped implements Sink. A route may have moved to another service and back.
+func (f *Front) PlansSkipped() {
+	f.loop.Post(func(now time.Duration, s *state) { s.origins.Interrupt(now) })
+}
+
 // reconnected notes that the platform has answered.
 func (f *Front) reconnected(now time.Duration, s *state) {
 	if !s.disconnected {
