--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -172,6 +172,21 @@
 	return d
 }
 
+// ResumableServices returns the services of routes whose streams callers may resume.
+func (p *Plan) ResumableServices() map[string]bool {
+	ss := map[string]bool{}
+	for _, rs := range p.hosts {
+		for _, r := range rs {
+			if r.Kind == Stream && r.Resumable {
+				for _, s := range r.Services() {
+					ss[s] = true
+				}
+			}
+		}
+	}
+	return ss
+}
+
 // MovesRoutes reports whether the plan sends any requests elsewhere than an earlier plan did.
 func (p *Plan) MovesRoutes(earlier *Plan) bool {
 	for host, rs := range p.hosts {
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -108,6 +108,17 @@
 	return near
 }
 
+// First returns the name with the highest score for a key, as Nearest does; "" if there is none.
+func First(key uint64, names []string) string {
+	first, best := "", uint64(0)
+	for _, a := range names {
+		if c := mix(key ^ xxhash.Sum64String(a)); first == "" || c > best || c == best && a < first {
+			first, best = a, c
+		}
+	}
+	return first
+}
+
 // mix spreads the bits of a hash. It is the 64-bit finalizer of MurmurHash3.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -73,6 +73,7 @@
 	notices notices
 	silence silence
 	crash   crash
+	reports reports
 }
 
 // faults holds the fault of the next requests and the number left of them. Replicas may
@@ -109,7 +110,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("replica: %w", err)
 	}
-	r := &Replica{ID: id, Events: events, Delay: delay, listener: l, faults: &faults{}, runs: map[string]int{}, took: map[string][]Fault{}, conns: map[net.Conn]bool{}}
+	r := &Replica{ID: id, Events: events, Delay: delay, listener: l, faults: &faults{}, runs: map[string]int{}, took: map[string][]Fault{}, conns: map[net.Conn]bool{}, reports: reports{ended: map[string]time.Time{}}}
 	go r.run()
 	return r, nil
 }
@@ -254,6 +255,9 @@
 
 // serve responds to one request. It reports false if the connection must be closed.
 func (r *Replica) serve(c *pausedConn, q *http.Request, body string) bool {
+	if isReport(q) {
+		return r.sendReport(c, q)
+	}
 	f, says := r.receive(q)
 	id := q.Header.Get("Attempt-Id")
 	if q.Header.Get("Expect-Replica") != r.ID {
@@ -288,6 +292,7 @@
 		return false
 	}
 	if r.Events > 0 {
+		defer r.beginRun(id)()
 		return r.stream(c, q, f, head)
 	}
 	time.Sleep(r.Delay)
--- a/io/front/codec.go
+++ b/io/front/codec.go
@@ -91,6 +91,10 @@
 	EncodeDispatch(h http.Header, d Dispatch)
 	// DecodeReply reads the status and headers of a target's response.
 	DecodeReply(status int, h http.Header) Reply
+	// RunsPath is the path at which targets list the requests that they run.
+	RunsPath() string
+	// DecodeRuns reads that list. It returns the IDs of the requests.
+	DecodeRuns(body []byte) ([]string, error)
 }
 
 // Sink receives what the platform publishes. Its methods don't block for long.
--- a/io/front/criteria.go
+++ b/io/front/criteria.go
@@ -29,9 +29,19 @@
 	case q.origin != nil:
 		c.Pinned, c.Version = true, q.origin.Version
 	}
+	q.pin(&c, q.version)
 	return c
 }
 
+// pin restricts the choice to the version of a target that may run the request, if callers may
+// resume its stream: all targets that list a request as running are then of the version that
+// began its stream. It has no effect if the version is unknown.
+func (q *request) pin(c *pool.Criteria, version string) {
+	if q.route.Resumable && !c.Pinned && version != "" {
+		c.Pinned, c.Version = true, version
+	}
+}
+
 // maxWait returns how long the request may wait in the queue.
 func (q *request) maxWait() time.Duration {
 	if q.stream != nil {
--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -84,6 +84,7 @@
 		f.assignSlots(now, s)
 	}
 	f.updateWarming(now, s)
+	f.readRunsDue(now, s)
 	f.dispatchAll(now, s)
 	f.fetchNewer(now, s)
 	if now-s.loadReported >= loadReportInterval {
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -45,6 +45,7 @@
 	opened           tally.Gauge
 	reused           tally.Gauge
 	disconnects      tally.Counter
+	originsRead      tally.Counter
 	mu               sync.Mutex
 	limits           map[string]*lineLimit
 }
@@ -72,6 +73,7 @@
 		opened:           t.Scope.Gauge("connections_opened"),
 		reused:           t.Scope.Gauge("connections_reused"),
 		disconnects:      t.Scope.Counter("platform_losses"),
+		originsRead:      t.Scope.Counter("stream_origins_read"),
 		limits:           map[string]*lineLimit{},
 	}
 }
@@ -198,6 +200,9 @@
 	if q.stream != nil && q.stream.gap > 0 {
 		t.Histogram("longest_pause", latencyBuckets).RecordDuration(q.stream.gap)
 	}
+	if q.route != nil && q.resumes() {
+		f.telem.Scope.Tagged(map[string]string{"origin": string(q.basis), "status": strconv.Itoa(status), "reason": short(reason)}).Counter("streams_resumed").Inc(1)
+	}
 	var revision uint64
 	if q.plan != nil {
 		revision = q.plan.Revision()
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -17,9 +17,11 @@
 const (
 	// keepers is how many peers are told what began a stream, and asked when it is resumed.
 	keepers = 4
-	// originRetry is the Retry-After if it is not known what began a stream. Until then the
-	// heartbeats of fronts that know it have arrived, or a front has been reached again.
-	originRetry = time.Second
+	// originRetry is the Retry-After if it is not known what began a stream, at a front that has
+	// just started: fronts and targets that know it are still to be asked. Later the answer changes
+	// only if a front that was cut off is reached again, and the Retry-After is lateOriginRetry.
+	originRetry     = 2 * time.Second
+	lateOriginRetry = 5 * time.Second
 	// versionRetry is the Retry-After if no target of the version is left. A target that has
 	// crashed starts again with its version within a few seconds.
 	versionRetry = 2 * time.Second
@@ -50,9 +52,14 @@
 	if d, ok := q.begunAgo(); ok {
 		r.BegunMs = proto.Uint32(uint32(d.Milliseconds()))
 	}
-	o, ok := q.front.originOf(ctx, r)
-	if !ok {
-		return http.StatusServiceUnavailable, "unknown-version", originRetry
+	var o origin.Origin
+	if o, q.basis = q.front.originOf(ctx, r); q.basis == basisNone {
+		return http.StatusServiceUnavailable, "unknown-version", actor.Ask(q.front.loop, func(now time.Duration, s *state) time.Duration {
+			if now-s.listedSince < originRetry {
+				return originRetry
+			}
+			return lateOriginRetry
+		})
 	}
 	q.origin = &o
 	if !q.route.HasService(o.Service) {
@@ -124,37 +131,46 @@
 	})
 }
 
-// originOf returns what began a stream, as this front or one of the stream's keepers knows it. It
-// reports false if none of them is certain.
-func (f *Front) originOf(ctx context.Context, r *wire.OriginRequest) (origin.Origin, bool) {
+// basis is from what the origin of a stream is known.
+type basis string
+
+const (
+	basisNone     basis = "none"
+	basisRecord   basis = "record"
+	basisVersions basis = "versions" // the versions that were listed
+)
+
+// originOf returns what began a stream, as this front or one of the stream's keepers knows it, and
+// from what. The basis is basisNone if none of them is certain.
+func (f *Front) originOf(ctx context.Context, r *wire.OriginRequest) (origin.Origin, basis) {
 	own := actor.Ask(f.loop, func(now time.Duration, s *state) finding { return s.findOrigin(now, r) })
 	if own.recorded {
-		return own.Origin, true
+		return own.Origin, basisRecord
 	}
 	var only []finding
 	for _, g := range append(f.askOrigin(ctx, r), own) {
 		if g.recorded {
-			return g.Origin, true
+			return g.Origin, basisRecord
 		}
 		if g.Version != "" {
 			only = append(only, g)
 		}
 	}
 	if len(only) == 0 {
-		return origin.Origin{}, false
+		return origin.Origin{}, basisNone
 	}
 	// The stream may have begun at a version that none of these fronts knows of yet.
 	at, err := f.positions.Ask(ctx)
 	if err != nil {
 		f.log("position", "platform's position unknown", "error", err.Error())
-		return origin.Origin{}, false
+		return origin.Origin{}, basisNone
 	}
 	for _, g := range only {
 		if g.at.covers(at) {
-			return g.Origin, true
+			return g.Origin, basisVersions
 		}
 	}
-	return origin.Origin{}, false
+	return origin.Origin{}, basisNone
 }
 
 // askOrigin asks the keepers of a stream what began it, all at once. It returns their findings
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -97,11 +97,15 @@
 	dispatches int
 	// mayHaveRun is true if a target may have run the request.
 	mayHaveRun bool
+	// version is the version of the target that may have run the request last; "" if none has.
+	version string
 	// fallback is a server error from a target, which is forwarded if no other target
 	// answers the request.
 	fallback *response
 	// origin is what began the stream that the caller resumes; nil for a new stream.
 	origin *origin.Origin
+	// basis is from what the origin is known, if the caller resumes a stream.
+	basis basis
 	// stream is the streamed response that the caller is receiving; nil before its start.
 	stream *stream
 	// next is the exchange that has taken the request over from a silent target; nil if none has.
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -75,7 +75,7 @@
 	e.attemptsLeft, e.dispatchesLeft = q.route.Attempts-len(q.tried), maxDispatches-q.dispatches
 	if !e.opened {
 		e.attemptsLeft, e.dispatchesLeft = e.attemptsLeft-1, e.dispatchesLeft-1
-		e.criteria = q.takeoverCriteria(e.choice.ID)
+		e.criteria = q.takeoverCriteria(e.choice)
 		e.continues = q.stream != nil
 		v = e.open()
 		q.recordDispatch(e, v)
@@ -95,7 +95,9 @@
 	if v.sent {
 		q.tried = append(q.tried, e.choice.ID)
 	}
-	q.mayHaveRun = q.mayHaveRun || v.mayHaveRun
+	if v.mayHaveRun {
+		q.mayHaveRun, q.version = true, e.choice.Version
+	}
 	if e.fallback != nil {
 		q.fallback = e.fallback
 	}
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -72,6 +72,10 @@
 	nearRefilled time.Duration
 	// reapplyAt is when the next missing target expires.
 	reapplyAt time.Duration
+	// listedSince is when the first list with targets was known; 0 if none is. runsRound is the
+	// number of rounds in which what they run was read.
+	listedSince time.Duration
+	runsRound   int
 	// position is the position up to which the platform's changes have arrived.
 	position Position
 	// listConfirmed is when a live peer's platform connection last confirmed the target list
@@ -185,6 +189,9 @@
 	f.withholdTargets(now, s)
 	f.rejectDrained(now, s)
 	s.origins.SetVersions(now, versions)
+	if len(ts) > 0 && s.listedSince == 0 {
+		s.listedSince = now
+	}
 	f.assignSlots(now, s)
 	f.meter.targets.Update(float64(len(ts)))
 	f.dispatchAll(now, s)
--- a/io/front/takeover.go
+++ b/io/front/takeover.go
@@ -295,11 +295,11 @@
 	return g, nil
 }
 
-// takeoverCriteria returns the criteria for a target that takes the request over from the target
-// with an ID.
-func (q *request) takeoverCriteria(id string) pool.Criteria {
+// takeoverCriteria returns the criteria for a target that takes the request over from a target.
+func (q *request) takeoverCriteria(from pool.Choice) pool.Criteria {
 	c := q.criteria()
-	c.Exclude = append(slices.Clone(q.excluded), id)
+	c.Exclude = append(slices.Clone(q.excluded), from.ID)
+	q.pin(&c, from.Version)
 	return c
 }
 
