--- a/io/front/criteria.go
+++ b/io/front/criteria.go
@@ -58,5 +58,8 @@
 	}
 	var w time.Duration
 	w, q.late = sched.MaxWait(g, q.priorTime+time.Since(q.arrived)+q.expectedFirstByte, left)
+	if q.origin != nil {
+		q.late = false // its caller holds a part of the stream, which would be lost
+	}
 	return w
 }
