--- a/io/front/request.go
+++ b/io/front/request.go
@@ -434,7 +434,7 @@
 	if q.next != nil {
 		return true // taken from the budget before
 	}
-	if ctx.Err() != nil || q.dispatches >= maxDispatches {
+	if ctx.Err() != nil || errors.Is(v.err, errTimeout) || q.dispatches >= maxDispatches {
 		return false
 	}
 	if _, err := q.isolated(false); err != nil {
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -242,6 +242,11 @@
 		e.outcome = pool.Neutral
 		return result{err: errWithheld}
 	}
+	// The context may end late at a front that is short of processor time.
+	if e.ctx.Err() != nil || !time.Now().Before(q.deadline) {
+		e.outcome = pool.Neutral
+		return result{err: errTimeout}
+	}
 	h := endToEnd(q.http.Header)
 	q.front.codec.EncodeDispatch(h, Dispatch{
 		Target:      e.choice.ID,
