--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -285,6 +285,6 @@
 func (p *Pool) MarkStalled(now time.Duration, id string) {
 	if t := p.targets[id]; t != nil {
 		t.suspend(now)
-		t.restarting(now)
+		t.lost = true
 	}
 }
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -334,7 +334,7 @@
 		t.suspend(now)
 	case Unreachable:
 		t.suspend(now)
-		t.restarting(now)
+		t.lost = true
 	}
 }
 
--- a/core/pool/warm.go
+++ b/core/pool/warm.go
@@ -11,8 +11,8 @@
 	pacer *warm.Pacer
 	// listed is the rest of the warm-up that the target's entry names, as last applied.
 	listed time.Duration
-	// lost is true after the target could not be reached or fell silent, until it answers: it
-	// may have started again.
+	// lost is true after the target could not be reached or fell silent, until it answers: another
+	// process may have started in its place.
 	lost bool
 	// source is what the latest news of the warm-up came from.
 	source WarmSource
@@ -45,14 +45,8 @@
 	w.learned = max(w.learned, min(now+d, w.pacer.Until()))
 }
 
-// restarting records that the target may be starting again.
-func (w *warmUp) restarting(now time.Duration) {
-	w.lost = true
-	w.learn(now, w.pacer.Terms().Lasting(), WarmRestart)
-}
-
-// answered records that the target has taken a request. If it was lost before, it may have
-// started just now.
+// answered records that the target has taken a request. If it was lost before and nothing proves
+// that it is the same process, it may have started just now.
 func (w *warmUp) answered(now time.Duration) {
 	if w.lost {
 		w.lost = false
@@ -60,6 +54,14 @@
 	}
 }
 
+// ObserveProcess records that a response proves that the process that was chosen still runs: it was
+// only cut off or busy, if it could not be reached or was silent.
+func (p *Pool) ObserveProcess(c Choice) {
+	if t := p.targets[c.ID]; t != nil && t.is(c.Born, c.Address) {
+		t.lost = false
+	}
+}
+
 // SetWarmTerms sets how the targets of each service warm up, by the service's name.
 func (p *Pool) SetWarmTerms(m map[string]warm.Terms) {
 	p.warmTerms = m
--- a/core/pool/warm_test.go
+++ b/core/pool/warm_test.go
@@ -41,6 +41,34 @@
 	t.Error("the target is not tried within 10 s")
 }
 
+// Guards against targets that are paced after each silence or cut, though they prove that they have
+// run all the while: in a fleet with many of these, all targets were paced all the time.
+func TestLostTargetThatStillRunsIsNotPaced(t *testing.T) {
+	const now = time.Minute
+	a := pool.Choice{ID: "a", Address: "a"}
+	for _, c := range []struct {
+		name   string
+		lose   func(*pool.Pool)
+		proved pool.Choice
+		want   bool
+	}{
+		{"silent", func(p *pool.Pool) { p.MarkStalled(now-time.Second, "a") }, a, false},
+		{"cut off", func(p *pool.Pool) { p.Begin(0, "a", 1); p.End(now-time.Second, "a", 1, pool.Unreachable) }, a, false},
+		{"silent, no proof", func(p *pool.Pool) { p.MarkStalled(now-time.Second, "a") }, pool.Choice{}, true},
+		{"cut off, no proof", func(p *pool.Pool) { p.Begin(0, "a", 1); p.End(now-time.Second, "a", 1, pool.Unreachable) }, pool.Choice{}, true},
+		{"proof of an earlier process", func(p *pool.Pool) { p.MarkStalled(now-time.Second, "a") }, pool.Choice{ID: "a", Address: "a", Born: 1}, true},
+	} {
+		p := newWarmPool(1)
+		c.lose(p)
+		p.Begin(now, "a", 100)
+		p.ObserveProcess(c.proved)
+		p.ObserveFirstByte(now, "a", 100, 100, time.Millisecond)
+		if got := len(p.Warming(now)) > 0; got != c.want {
+			t.Errorf("%s: paced %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 // Guards against warm-ups that a front learns late: from the list, a response, a peer, the return of a
 // target that was lost, or the end of a drain. A front without units sends such a target nothing.
 func TestSignsOfAWarmUp(t *testing.T) {
--- a/io/front/codec.go
+++ b/io/front/codec.go
@@ -58,6 +58,9 @@
 	// HasReceipt is true if the response has the receipt header, which proves that it was
 	// made by a target.
 	HasReceipt bool
+	// SameProcess is true if the response proves that it was made by the process that was chosen,
+	// not by another one with its id or address.
+	SameProcess bool
 	// NotRun is true if the target guarantees that it has not run the request.
 	NotRun bool
 	// HasLimit is true if the target names a limit, and Limit is the number of requests a
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -160,6 +160,8 @@
 	outcome pool.Outcome
 	// kept is true if the connection went back to the dialer.
 	kept bool
+	// sameProcess is true if the response proves that the target is the process that was chosen.
+	sameProcess bool
 	// unexpected is true if the connection carried a response to another request.
 	unexpected bool
 }
@@ -183,10 +185,13 @@
 	if e.conn != nil && !e.kept {
 		e.conn.Close()
 	}
-	crash, sound := e.suspectsCrash(), e.sound
+	crash, sound, same := e.suspectsCrash(), e.sound, e.sameProcess
 	e.cancel(nil)
 	e.span.End()
 	q.front.loop.Post(func(now time.Duration, s *state) {
+		if same {
+			s.pool.ObserveProcess(c)
+		}
 		s.pool.End(now, c.ID, e.prompt, e.outcome)
 		if sound {
 			q.front.recordSound(now, s, q)
@@ -278,6 +283,7 @@
 		}
 		r := q.front.codec.DecodeReply(a.StatusCode, a.Header)
 		if r.ID == "" || r.ID == q.call.ID {
+			e.sameProcess = r.SameProcess
 			e.observeLimit(a.StatusCode, r)
 			e.observeNotices(a.StatusCode, r)
 			return a, r, nil
@@ -350,12 +356,15 @@
 func (e *exchange) recordFirstByte() {
 	q := e.request
 	d := time.Since(e.started)
-	n := e.prompt
+	n, same := e.prompt, e.sameProcess
 	e.prompt = 0
 	if q.summary.firstByte == 0 {
 		q.summary.firstByte = time.Since(q.arrived)
 	}
 	q.front.loop.Post(func(now time.Duration, s *state) {
+		if same {
+			s.pool.ObserveProcess(e.choice)
+		}
 		s.pool.ObserveFirstByte(now, e.choice.ID, n, e.choice.PrefillTokens, d)
 		s.changed = true
 	})
