--- a/io/front/runs.go
+++ b/io/front/runs.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"kingcupstand/core/origin"
@@ -31,8 +32,8 @@
 // runsRounds are the times, after a front knows its first targets, at which it reads the lists
 // of its part of them. The lists are as of some time before, up to several seconds.
 var runsRounds = []time.Duration{
-	100 * time.Millisecond, 500 * time.Millisecond, 1200 * time.Millisecond, 2 * time.Second, 3 * time.Second,
-	4 * time.Second, 5 * time.Second, 6500 * time.Millisecond, 8 * time.Second,
+	100 * time.Millisecond, 500 * time.Millisecond, 1200 * time.Millisecond,
+	2500 * time.Millisecond, 4 * time.Second, 6 * time.Second,
 }
 
 var errListStatus = errors.New("list of runs refused")
@@ -67,7 +68,7 @@
 		f.log("runs", "cannot read what target runs", "target", t.Id, "error", err.Error())
 		return
 	}
-	if len(ids) == 0 {
+	if actor.Ask(f.loop, func(now time.Duration, s *state) bool { return s.knowsOrigins(now, ids) }) {
 		return
 	}
 	at, err := f.positions.Ask(context.Background())
@@ -102,20 +103,17 @@
 	detach := context.AfterFunc(ctx, c.Close)
 	h := http.Header{}
 	f.codec.EncodeDispatch(h, Dispatch{Target: t.Id, Timeout: runsTimeout})
-	a, b, err := exchangeRuns(c, dial.Request{Method: http.MethodGet, URI: f.codec.RunsPath(), Host: t.Address, Header: h})
+	a, ids, err := f.exchangeRuns(c, dial.Request{Method: http.MethodGet, URI: f.codec.RunsPath(), Host: t.Address, Header: h})
 	if err != nil || !detach() {
-		c.Close()
+		c.Close() // it may carry an answer to another request
 		return nil, errors.Join(err, ctx.Err())
 	}
 	f.dialer.Put(c, a)
-	if a.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("%w: status %d", errListStatus, a.StatusCode)
-	}
-	return f.codec.DecodeRuns(b)
+	return ids, nil
 }
 
-// exchangeRuns sends a request and reads the whole response.
-func exchangeRuns(c *dial.Conn, q dial.Request) (*http.Response, []byte, error) {
+// exchangeRuns sends the request for a list and reads the whole response.
+func (f *Front) exchangeRuns(c *dial.Conn, q dial.Request) (*http.Response, []string, error) {
 	if _, err := c.Send(q); err != nil {
 		return nil, nil, err
 	}
@@ -123,6 +121,12 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if f.codec.DecodeReply(a.StatusCode, a.Header).ID != "" {
+		return nil, nil, errWrongRequest
+	}
+	if a.StatusCode != http.StatusOK {
+		return nil, nil, fmt.Errorf("%w: status %d", errListStatus, a.StatusCode)
+	}
 	b, err := io.ReadAll(io.LimitReader(a.Body, maxRunsBody+1))
 	if err != nil {
 		return nil, nil, fmt.Errorf("receive: %w", err)
@@ -130,7 +134,16 @@
 	if len(b) > maxRunsBody {
 		return nil, nil, errBodyTooLong
 	}
-	return a, b, nil
+	ids, err := f.codec.DecodeRuns(b)
+	return a, ids, err
+}
+
+// knowsOrigins reports whether this front has a record of each of some requests.
+func (s *state) knowsOrigins(now time.Duration, ids []string) bool {
+	return !slices.ContainsFunc(ids, func(i string) bool {
+		_, ok := s.origins.Find(now, origin.ID(i))
+		return !ok
+	})
 }
 
 // recordRuns records the origins of what a target runs, and returns how many were new. The
