--- a/io/front/front.go
+++ b/io/front/front.go
@@ -101,9 +101,12 @@
 	stopping    atomic.Bool
 	// abortAt is when requests still in flight are aborted; nil before a shutdown. The context
 	// aborted ends then.
-	abortAt  atomic.Pointer[time.Time]
-	aborted  context.Context
-	abort    context.CancelFunc
+	abortAt atomic.Pointer[time.Time]
+	aborted context.Context
+	abort   context.CancelFunc
+	// running ends when Run is about to return, which waits for tasks.
+	running  context.Context
+	tasks    sync.WaitGroup
 	inflight atomic.Int64
 	// fetching is true while documents are being fetched from a peer.
 	fetching atomic.Bool
@@ -168,6 +171,7 @@
 	}
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	f.running = inner
 	callers := f.server(inner, http.HandlerFunc(f.serve))
 	ls, err := f.listen(callers)
 	if err != nil {
@@ -196,6 +200,7 @@
 	err = errors.Join(err, f.gossip.Close())
 	g.Wait()
 	f.loop.Stop()
+	f.tasks.Wait()
 	return err
 }
 
--- a/io/front/runs.go
+++ b/io/front/runs.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		if share.First(origin.ID(r.Id), fronts) == f.settings.Peer {
-			go f.runReadRuns(r)
+			f.tasks.Go(func() { f.runReadRuns(r) })
 			n++
 		}
 	}
@@ -63,7 +63,11 @@
 // runReadRuns reads the list of a target and records the origins of what it runs, once this
 // front's list of targets is as current.
 func (f *Front) runReadRuns(t *spec.Replica) {
-	ids, err := f.readRuns(t)
+	ctx := f.running
+	ids, err := f.readRuns(ctx, t)
+	if ctx.Err() != nil {
+		return
+	}
 	if err != nil {
 		f.log("runs", "cannot read what target runs", "target", t.Id, "error", err.Error())
 		return
@@ -71,7 +75,10 @@
 	if actor.Ask(f.loop, func(now time.Duration, s *state) bool { return s.knowsOrigins(now, ids) }) {
 		return
 	}
-	at, err := f.positions.Ask(context.Background())
+	at, err := f.positions.Ask(ctx)
+	if ctx.Err() != nil {
+		return
+	}
 	if err != nil {
 		f.log("position", "platform's position unknown", "error", err.Error())
 		return
@@ -87,14 +94,18 @@
 			f.meter.originsRead.Inc(int64(n))
 			return
 		}
-		time.Sleep(listCheckInterval)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(listCheckInterval):
+		}
 	}
 	f.log("runs", "cannot record what target runs: list of targets is not current", "target", t.Id)
 }
 
 // readRuns reads the list of one target.
-func (f *Front) readRuns(t *spec.Replica) ([]string, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), runsTimeout)
+func (f *Front) readRuns(ctx context.Context, t *spec.Replica) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, runsTimeout)
 	defer cancel()
 	c, err := f.dialer.Get(ctx, t.Address, dial.Lenient)
 	if err != nil {
