--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -121,6 +121,7 @@
 	p.add("load", "Send a load to running entries and report the results", &loadCommand{streams: s})
 	p.add("trial", "Run a whole system and a load in this process", &trialCommand{streams: s})
 	p.add("bench", "Benchmark scheduling policies in virtual time, beside baselines and a bound", &benchCommand{streams: s})
+	p.add("explain", "Summarize the logs of fronts: who was served, refused or cut, and what slots were used for", &explainCommand{streams: s})
 	p.add("hash-key", "Print the hash of a key read from standard input", &hashCommand{streams: s})
 	return p.run(args)
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -30,6 +30,22 @@
 	}
 }
 
+// TestExplain compares the output and exit status of explain for each log of testdata/explain with
+// the golden file beside it.
+func TestExplain(t *testing.T) {
+	files, err := filepath.Glob("testdata/explain/*.log")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no files: %v", err)
+	}
+	for _, f := range files {
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			var out bytes.Buffer
+			code := cli.Main([]string{"explain", f}, &out, &out)
+			compare(t, strings.TrimSuffix(f, ".log")+".golden", out.String()+"exit "+string(rune('0'+code))+"\n")
+		})
+	}
+}
+
 func compare(t *testing.T, golden, got string) {
 	t.Helper()
 	if *update {
