--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -163,6 +163,14 @@
 	return ss
 }
 
+// ObserveVersion notes that a target of a service is listed with a version, as of the next call of
+// SetVersions at the latest. It has no effect for a service that SetVersions has not named yet.
+func (t *Table) ObserveVersion(name, v string) {
+	if s := t.services[name]; s != nil {
+		s.versions[v] = version{listed: true}
+	}
+}
+
 // SetVersions sets which versions of each service are listed now. "" stands for a target
 // whose version is unknown.
 func (t *Table) SetVersions(now time.Duration, listed map[string][]string) {
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -77,6 +77,8 @@
 		{"two", func(b *origin.Table) { b.SetVersions(0, two) }, 99 * s, false, unknown},
 		{"two lately", func(b *origin.Table) { b.SetVersions(0, two); b.SetVersions(10*s, one) }, 44 * s, false, unknown},
 		{"two long ago", func(b *origin.Table) { b.SetVersions(0, two); b.SetVersions(10*s, one) }, 46 * s, true, unknown},
+		{"two between lists", func(b *origin.Table) { b.SetVersions(0, one); b.ObserveVersion("chat", "v2"); b.SetVersions(10*s, one) }, 44 * s, false, unknown},
+		{"two between lists long ago", func(b *origin.Table) { b.SetVersions(0, one); b.ObserveVersion("chat", "v2"); b.SetVersions(10*s, one) }, 46 * s, true, unknown},
 		{"none listed now", func(b *origin.Table) { b.SetVersions(0, one); b.SetVersions(20*s, nil) }, 45 * s, true, unknown},
 		{"list interrupted", func(b *origin.Table) { b.SetVersions(0, one); b.Interrupt(20 * s) }, 54 * s, false, unknown},
 		{"unknown version", func(b *origin.Table) { b.SetVersions(0, map[string][]string{"chat": {""}}) }, 45 * s, false, unknown},
--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -70,6 +70,7 @@
 			f.telem.Log.Info("dependency lost", "dependency", "peer", "peer", a)
 		}
 	}
+	f.applyChanges(now, s)
 	s.checkList(now)
 	f.suspectsChanged(s, s.poison.Check(now), "")
 	live, all := s.peers.Count(now)
--- /dev/null
+++ b/io/front/list_test.go
@@ -0,0 +1,99 @@
+package front
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"kingcupstand/core/origin"
+	"kingcupstand/io/actor"
+	"kingcupstand/schema/spec"
+)
+
+func listedTarget(i int, version string) *spec.Replica {
+	return &spec.Replica{Id: fmt.Sprint("i-", i), Service: "llm", Address: fmt.Sprint("192.0.2.9:", i), DataCentre: fmt.Sprint("dc", i%4), Version: version, Slots: 12}
+}
+
+// usable returns the targets that the front may use.
+func usable(f *Front) []string {
+	return actor.Ask(f.loop, func(_ time.Duration, s *state) (ids []string) {
+		for _, t := range s.pool.Targets("llm") {
+			if !t.Leaving {
+				ids = append(ids, t.ID)
+			}
+		}
+		slices.Sort(ids)
+		return ids
+	})
+}
+
+// Changes of the target list take effect with the platform's confirmation that ends their series, or
+// with the next tick if it doesn't come.
+func TestListChangesTakeEffect(t *testing.T) {
+	for name, end := range map[string]func(*Front){
+		"confirmation": func(f *Front) { f.ConfirmTargets(Position{Revision: 4}) },
+		"tick":         func(f *Front) { f.loop.Post(f.tick) },
+	} {
+		f := sharingFront(t, false)
+		f.ReplaceTargets(&spec.Directory{Revision: 1, Replicas: []*spec.Replica{listedTarget(1, "v1"), listedTarget(2, "v1")}})
+		leaving := listedTarget(2, "v1")
+		leaving.Leaving = true
+		f.PutTarget(2, leaving)
+		f.PutTarget(3, listedTarget(3, "v1"))
+		f.InvalidTarget(4, "i-1", errors.New("unreadable"))
+		end(f)
+		if ids := usable(f); !slices.Equal(ids, []string{"i-3"}) {
+			t.Errorf("%s: the front uses %v, want i-3", name, ids)
+		}
+	}
+}
+
+// Guards against versions that are forgotten as they are listed and gone within one series of changes:
+// other fronts may have begun streams at them.
+func TestVersionOfOneSeriesOfChangesIsKept(t *testing.T) {
+	f := sharingFront(t, false)
+	f.ReplaceTargets(&spec.Directory{Revision: 1, Replicas: []*spec.Replica{listedTarget(1, "v1")}})
+	time.Sleep(time.Second)
+	// The questions are asked as of a minute later, of streams that can have begun up to half a
+	// second ago.
+	const begun = time.Minute + time.Second/2 - origin.ListLag
+	only := func() bool {
+		return actor.Ask(f.loop, func(now time.Duration, s *state) bool {
+			_, ok := s.origins.Only(now+time.Minute, "llm", begun)
+			return ok
+		})
+	}
+	if !only() {
+		t.Fatal("one version alone was listed, but isn't known to be the only one")
+	}
+	f.PutTarget(2, listedTarget(2, "v2"))
+	f.InvalidTarget(3, "i-2", errors.New("unreadable"))
+	f.ConfirmTargets(Position{Revision: 3})
+	if only() {
+		t.Error("a version that was listed for a moment is forgotten")
+	}
+}
+
+// BenchmarkListChanges measures what a front spends when the targets of a large fleet are listed one by
+// one, in series of as many changes as a watch of the platform returns.
+func BenchmarkListChanges(b *testing.B) {
+	const series = 100
+	for _, n := range []int{300, 1000, 3000} {
+		b.Run(fmt.Sprint("targets=", n), func(b *testing.B) {
+			for b.Loop() {
+				f := sharingFront(b, false)
+				for i := range n {
+					f.PutTarget(uint64(i+1), listedTarget(i, "v1"))
+					if i%series == series-1 {
+						f.ConfirmTargets(Position{Revision: uint64(i + 1)})
+					}
+				}
+				if len(usable(f)) != n {
+					b.Fatal("targets are missing")
+				}
+			}
+		})
+	}
+}
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -70,6 +70,8 @@
 	heartbeatSent, nearSent time.Duration
 	// nearRefilled is creditsRefilled for near targets, if the fleet is regional.
 	nearRefilled time.Duration
+	// listChanged is true if the target list has changed since it was last applied.
+	listChanged bool
 	// reapplyAt is when the next missing target expires.
 	reapplyAt time.Duration
 	// listedSince is when the first list with targets was known; 0 if none is. runsRound is the
@@ -162,6 +164,7 @@
 // applyTargets passes the targets that the list holds to the pool, and schedules the
 // next expiry of a missing target.
 func (f *Front) applyTargets(now time.Duration, s *state) {
+	s.listChanged = false
 	var ts []pool.Target
 	versions := map[string][]string{}
 	for _, r := range s.roster.Replicas(now) {
@@ -207,21 +210,31 @@
 	f.loop.Post(func(now time.Duration, s *state) { f.applyTargets(now, s) })
 }
 
-// updateList changes the target list on the control loop and applies the result.
+// updateList changes the target list on the control loop. The change is applied with the next
+// confirmation or tick: applying costs time for each target that is listed, and changes arrive by the
+// thousand when a fleet starts.
 func (f *Front) updateList(c func(now time.Duration, s *state)) {
 	f.loop.Post(func(now time.Duration, s *state) {
 		f.reconnected(now, s)
 		c(now, s)
-		f.applyTargets(now, s)
+		s.listChanged = true
 	})
 }
 
+// applyChanges applies the changes of the target list that are not applied yet.
+func (f *Front) applyChanges(now time.Duration, s *state) {
+	if s.listChanged {
+		f.applyTargets(now, s)
+	}
+}
+
 // ReplaceTargets implements Sink.
 func (f *Front) ReplaceTargets(d *spec.Directory) {
 	f.updateList(func(now time.Duration, s *state) {
 		s.roster.ApplySnapshot(now, d)
 		s.origins.Interrupt(now) // changes before the snapshot may have been missed
 		f.telem.Log.Info("target list read", "revision", d.Revision, "targets", len(d.Replicas))
+		f.applyTargets(now, s)
 	})
 }
 
@@ -229,6 +242,7 @@
 func (f *Front) PutTarget(revision uint64, r *spec.Replica) {
 	f.updateList(func(now time.Duration, s *state) {
 		s.roster.Put(now, revision, r)
+		s.origins.ObserveVersion(r.Service, r.Version) // it may be gone before the list is applied
 		f.telem.Log.Info("target listed", "target", r.Id, "service", r.Service, "address", r.Address,
 			"leaving", r.Leaving, "born", r.Born, "version", r.Version, "revision", revision)
 	})
@@ -255,6 +269,7 @@
 	f.loop.Post(func(now time.Duration, s *state) {
 		f.reconnected(now, s)
 		s.roster.Confirm(now)
+		f.applyChanges(now, s)
 		s.position = at
 	})
 }
