--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -270,6 +270,30 @@
 	}
 }
 
+// Yields reports whether a request of priority p is held back while one of priority o waits at another
+// front: if o is the higher one, unless p is of a class whose requests need less slot time than those
+// of o's class, which isn't the most urgent one. The order of such classes is left to their weights at
+// each front. Otherwise a class of short requests would get nothing as long as a request of a more
+// urgent class waits at any front, as one nearly always does in an overload of many fronts.
+func (q *Queue[T]) Yields(p, o Priority) bool {
+	if !o.Before(p) {
+		return false
+	}
+	if o.TierRank != p.TierRank || o.Late != p.Late || o.RouteRank == p.RouteRank || o.RouteRank == 0 {
+		return true
+	}
+	h := q.hold(p)
+	return h == 0 || h >= q.hold(o)
+}
+
+// hold returns the average expected hold time of a priority's class; 0 if it is unknown.
+func (q *Queue[T]) hold(p Priority) time.Duration {
+	if c := q.classes[classKey{tierRank: p.TierRank, routeRank: p.RouteRank}]; c != nil {
+		return c.hold
+	}
+	return 0
+}
+
 // CountByPriority returns the number of queued requests of each priority.
 func (q *Queue[T]) CountByPriority() map[Priority]int {
 	m := map[Priority]int{}
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -240,3 +240,42 @@
 		t.Errorf("got %d heads, want v3 only", len(hs))
 	}
 }
+
+// A request yields to those of higher priority at other fronts, but not to a longer class in its tier
+// that isn't the most urgent one. What the lengths are is learned from the requests, also anew.
+func TestYields(t *testing.T) {
+	const short, long = 100 * time.Millisecond, time.Second
+	q := queue.New[int]()
+	push := func(routeRank int, hold time.Duration) {
+		for range 200 {
+			q.Remove(q.Push(0, queue.SortKey{TierRank: 1, RouteRank: routeRank, Hold: hold}, 0))
+		}
+	}
+	check := func(name string, p, o queue.Priority, want bool) {
+		t.Helper()
+		if got := q.Yields(p, o); got != want {
+			t.Errorf("%s: got %v, want %v", name, got, want)
+		}
+	}
+	second, third := queue.Priority{TierRank: 1, RouteRank: 1}, queue.Priority{TierRank: 1, RouteRank: 2}
+	check("lengths unknown", third, second, true)
+	push(2, short)
+	check("length of the more urgent class unknown", third, second, true)
+	push(1, long)
+	check("shorter", third, second, false)
+	check("the more urgent one", second, third, false)
+	check("most urgent class", third, queue.Priority{TierRank: 1}, true)
+	check("higher tier", third, queue.Priority{RouteRank: 1}, true)
+	check("lower tier", third, queue.Priority{TierRank: 2}, false)
+	late := third
+	late.Late = true
+	check("late", late, second, true)
+	check("late ones", third, queue.Priority{TierRank: 1, RouteRank: 1, Late: true}, false)
+	over := third
+	over.OverShare = true
+	check("over the share", over, third, true)
+	push(2, 2*long)
+	check("longer since", third, second, true)
+	push(2, short)
+	check("shorter again", third, second, false)
+}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -44,8 +44,8 @@
 //
 // Every front sends to every target. The fronts exchange reports of their queues, so
 // that together they behave as if they shared one queue per service: a front holds a
-// request back while the free slots are needed by requests of higher priority that
-// wait at its peers. AssignSlots divides the slots of engines, and the limits that
+// request back while the free slots are needed by requests that wait at its peers and
+// that it yields to (queue.Queue.Yields). AssignSlots divides the slots of engines, and the limits that
 // targets name, among the fronts. Without it, two fronts that have not yet received each
 // other's latest report would send to the same free slot.
 package sched
@@ -277,11 +277,11 @@
 }
 
 // mayDispatch reports whether a free slot remains for a request of priority p once all
-// requests that wait at peers with a higher priority have got one.
+// requests that wait at peers, and that it yields to, have got one.
 func (s *Scheduler[T]) mayDispatch(now time.Duration, service string, p queue.Priority) bool {
-	n := 0
+	n, q := 0, s.queue(service).waiters
 	for w, k := range s.waiting[pool.Hash(service)] {
-		if w.Before(p) {
+		if q.Yields(p, w) {
 			n += k
 		}
 	}
--- a/internal/bench/pattern.go
+++ b/internal/bench/pattern.go
@@ -142,6 +142,21 @@
 		large(r)
 		r.slowAt = 9 * time.Second
 	})
+	add("waves-of-short-requests", func(r *Pattern) {
+		// Requests of the third class need a tenth of the slot time of the others. Callers come in
+		// waves, so that a request of the second class waits at some front nearly all the time.
+		r.kinds = []requestKind{
+			{name: "replan", routeRank: 0, goal: 800 * time.Millisecond, limit: 15 * time.Second, gap: 400 * time.Millisecond, rate: 71, prompt: 6600, output: 384, spread: 0.8, worth: 11, lateWorth: 3.2},
+			{name: "explain", routeRank: 1, goal: 400 * time.Millisecond, limit: 12 * time.Second, gap: 400 * time.Millisecond, rate: 344, prompt: 640, output: 288, spread: 0.8, worth: 1.7, lateWorth: 0.5},
+			{name: "sort", routeRank: 2, goal: 400 * time.Millisecond, limit: 3 * time.Second, gap: 400 * time.Millisecond, rate: 110, prompt: 1800, output: 23, spread: 0.8, worth: 0.52, lateWorth: 0.15},
+		}
+		r.fronts, r.zones, r.engines = 29, 4, nil
+		for i := range 52 {
+			d := time.Duration([]float64{0.7, 1, 2.8}[i%3] * float64(3400*time.Microsecond))
+			r.engines = append(r.engines, engineSpec{step: d, prefill: 206, batch: 10, cache: 12_000})
+		}
+		r.burstFrom, r.burstTo, r.burstFactor = 8*time.Second, 20*time.Second, 1.5
+	})
 	add("busy-workspace", func(r *Pattern) {
 		// One of sixteen workspaces sends seven times as much as usual, within its allowance, so that
 		// the slots don't suffice for all. With one kind of requests no class goes before another.
--- a/internal/bench/pattern_test.go
+++ b/internal/bench/pattern_test.go
@@ -1,6 +1,7 @@
 package bench_test
 
 import (
+	"slices"
 	"testing"
 
 	"kingcupstand/internal/bench"
@@ -98,3 +99,17 @@
 		})
 	}
 }
+
+// TestClassesAreServedAsByOneQueue guards against a class of short requests that gets no slot while
+// any front has requests of a more urgent class, though its weight in a single queue gives it one.
+func TestClassesAreServedAsByOneQueue(t *testing.T) {
+	ps := bench.Patterns()
+	r := ps[slices.IndexFunc(ps, func(r bench.Pattern) bool { return r.Name == "waves-of-short-requests" })]
+	one, many := bench.RunPattern(r.WithFronts(1), bench.Unassigned, seed), bench.RunPattern(r, bench.Fronts, seed)
+	t.Logf("served with one front %.3f, with all %.3f; worth %.3f, %.3f", one.Served, many.Served, one.Worth, many.Worth)
+	for i, v := range many.Served {
+		if v < singleFrontWorth*one.Served[i] {
+			t.Errorf("kind %d: fraction served %.3f, with one front %.3f", i, v, one.Served[i])
+		}
+	}
+}
