--- a/io/front/list_test.go
+++ b/io/front/list_test.go
@@ -50,6 +50,18 @@
 	}
 }
 
+// Guards against a front that refuses requests although a target for them was listed: a change that
+// comes alone is applied at once.
+func TestSingleListChangeTakesEffectAtOnce(t *testing.T) {
+	f := sharingFront(t, false)
+	f.ReplaceTargets(&spec.Directory{Revision: 1})
+	time.Sleep(2 * listInterval)
+	f.PutTarget(2, listedTarget(1, "v1"))
+	if ids := usable(f); !slices.Equal(ids, []string{"i-1"}) {
+		t.Errorf("the front uses %v, want i-1", ids)
+	}
+}
+
 // Guards against versions that are forgotten as they are listed and gone within one series of changes:
 // other fronts may have begun streams at them.
 func TestVersionOfOneSeriesOfChangesIsKept(t *testing.T) {
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -70,8 +70,9 @@
 	heartbeatSent, nearSent time.Duration
 	// nearRefilled is creditsRefilled for near targets, if the fleet is regional.
 	nearRefilled time.Duration
-	// listChanged is true if the target list has changed since it was last applied.
+	// listChanged is true if the target list has changed since it was last applied, at listApplied.
 	listChanged bool
+	listApplied time.Duration
 	// reapplyAt is when the next missing target expires.
 	reapplyAt time.Duration
 	// listedSince is when the first list with targets was known; 0 if none is. runsRound is the
@@ -164,7 +165,7 @@
 // applyTargets passes the targets that the list holds to the pool, and schedules the
 // next expiry of a missing target.
 func (f *Front) applyTargets(now time.Duration, s *state) {
-	s.listChanged = false
+	s.listChanged, s.listApplied = false, now
 	var ts []pool.Target
 	versions := map[string][]string{}
 	for _, r := range s.roster.Replicas(now) {
@@ -210,14 +211,21 @@
 	f.loop.Post(func(now time.Duration, s *state) { f.applyTargets(now, s) })
 }
 
-// updateList changes the target list on the control loop. The change is applied with the next
-// confirmation or tick: applying costs time for each target that is listed, and changes arrive by the
-// thousand when a fleet starts.
+// listInterval is the shortest time between two applications of changes of the target list, but for
+// one when the platform confirms the list.
+const listInterval = 50 * time.Millisecond
+
+// updateList changes the target list on the control loop. The change is applied at once, or with the
+// next confirmation or tick if another one was applied less than listInterval ago: applying costs time
+// for each target that is listed, and changes arrive by the thousand when a fleet starts.
 func (f *Front) updateList(c func(now time.Duration, s *state)) {
 	f.loop.Post(func(now time.Duration, s *state) {
 		f.reconnected(now, s)
 		c(now, s)
 		s.listChanged = true
+		if now-s.listApplied >= listInterval {
+			f.applyChanges(now, s)
+		}
 	})
 }
 
