--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -2,8 +2,7 @@
 // long they waited for a slot, and what the time that they occupied slots was used for.
 //
 // The logs of several fronts may be read one after the other or as one. Lines that are not log lines
-// of fronts are ignored. Fronts leave log lines out under load and count them; a summary that lacks
-// requests says so.
+// of fronts are ignored. Fronts leave log lines out under load; Summary.Omitted counts these.
 //
 // # Usage
 //
@@ -66,7 +65,7 @@
 	Samples, Full, Idle int
 }
 
-// Summary is what logs say.
+// Summary holds the counts of all logs that were read.
 type Summary struct {
 	Routes  []Route
 	Reasons []Reason
@@ -75,7 +74,7 @@
 	Omitted int
 }
 
-// Audit collects what logs say. It is not safe for concurrent use.
+// Audit collects the counts of logs. It is not safe for concurrent use.
 type Audit struct {
 	routes  map[string]*Route
 	reasons map[Reason]int
