--- a/io/front/list_test.go
+++ b/io/front/list_test.go
@@ -16,6 +16,17 @@
 	return &spec.Replica{Id: fmt.Sprint("i-", i), Service: "llm", Address: fmt.Sprint("192.0.2.9:", i), DataCentre: fmt.Sprint("dc", i%4), Version: version, Slots: 12}
 }
 
+// longList returns a list that is longer than those of which each change is applied at once: targets of
+// another service, and the given ones.
+func longList(rs ...*spec.Replica) *spec.Directory {
+	for i := range shortList {
+		r := listedTarget(1000+i, "v1")
+		r.Service = "web"
+		rs = append(rs, r)
+	}
+	return &spec.Directory{Revision: 1, Replicas: rs}
+}
+
 // usable returns the targets that the front may use.
 func usable(f *Front) []string {
 	return actor.Ask(f.loop, func(_ time.Duration, s *state) (ids []string) {
@@ -37,7 +48,7 @@
 		"tick":         func(f *Front) { f.loop.Post(f.tick) },
 	} {
 		f := sharingFront(t, false)
-		f.ReplaceTargets(&spec.Directory{Revision: 1, Replicas: []*spec.Replica{listedTarget(1, "v1"), listedTarget(2, "v1")}})
+		f.ReplaceTargets(longList(listedTarget(1, "v1"), listedTarget(2, "v1")))
 		leaving := listedTarget(2, "v1")
 		leaving.Leaving = true
 		f.PutTarget(2, leaving)
@@ -66,7 +77,7 @@
 // other fronts may have begun streams at them.
 func TestVersionOfOneSeriesOfChangesIsKept(t *testing.T) {
 	f := sharingFront(t, false)
-	f.ReplaceTargets(&spec.Directory{Revision: 1, Replicas: []*spec.Replica{listedTarget(1, "v1")}})
+	f.ReplaceTargets(longList(listedTarget(1, "v1")))
 	time.Sleep(time.Second)
 	// The questions are asked as of a minute later, of streams that can have begun up to half a
 	// second ago.
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -73,6 +73,8 @@
 	// listChanged is true if the target list has changed since it was last applied, at listApplied.
 	listChanged bool
 	listApplied time.Duration
+	// listed is the number of targets as of then.
+	listed int
 	// reapplyAt is when the next missing target expires.
 	reapplyAt time.Duration
 	// listedSince is when the first list with targets was known; 0 if none is. runsRound is the
@@ -197,6 +199,7 @@
 		s.listedSince = now
 	}
 	f.assignSlots(now, s)
+	s.listed = len(ts)
 	f.meter.targets.Update(float64(len(ts)))
 	f.dispatchAll(now, s)
 	if at, ok := s.roster.NextExpiry(); ok && at != s.reapplyAt {
@@ -211,19 +214,23 @@
 	f.loop.Post(func(now time.Duration, s *state) { f.applyTargets(now, s) })
 }
 
-// listInterval is the shortest time between two applications of changes of the target list, but for
-// one when the platform confirms the list.
-const listInterval = 50 * time.Millisecond
+const (
+	// shortList is the number of targets up to which each change of the list is applied at once.
+	shortList = 200
+	// listInterval is the shortest time between two applications of changes of a longer list, but for
+	// one when the platform confirms the list.
+	listInterval = 50 * time.Millisecond
+)
 
-// updateList changes the target list on the control loop. The change is applied at once, or with the
-// next confirmation or tick if another one was applied less than listInterval ago: applying costs time
-// for each target that is listed, and changes arrive by the thousand when a fleet starts.
+// updateList changes the target list on the control loop. The change is applied at once, or if the list
+// is long and another change was applied less than listInterval ago, with the next confirmation or tick:
+// applying costs time for each target, and changes arrive by the thousand when a large fleet starts.
 func (f *Front) updateList(c func(now time.Duration, s *state)) {
 	f.loop.Post(func(now time.Duration, s *state) {
 		f.reconnected(now, s)
 		c(now, s)
 		s.listChanged = true
-		if now-s.listApplied >= listInterval {
+		if s.listed <= shortList || now-s.listApplied >= listInterval {
 			f.applyChanges(now, s)
 		}
 	})
