--- a/io/front/front.go
+++ b/io/front/front.go
@@ -73,9 +73,12 @@
 	drainDelay = 3200 * time.Millisecond
 	// exitReserve is the fraction of the grace period that is kept for the exit of the
 	// process, and answerReserve the fraction before it in which requests that are aborted
-	// get their answers.
+	// get their answers. Each is at least minReserve, or reserveLimit of the grace period if that
+	// is shorter.
 	exitReserve   = 1.0 / 32
 	answerReserve = 1.0 / 32
+	minReserve    = 100 * time.Millisecond
+	reserveLimit  = 1.0 / 8
 	// flushTime is how long a front that has answered all requests waits for the answers to be
 	// written.
 	flushTime = 250 * time.Millisecond
@@ -329,7 +332,7 @@
 	}
 	g := time.Duration(f.settings.GraceMs) * time.Millisecond
 	now := time.Now()
-	end := now.Add(g - time.Duration(float64(g)*(exitReserve+answerReserve)))
+	end := now.Add(g - reserve(g, exitReserve) - reserve(g, answerReserve))
 	f.stopStarted.Store(&now)
 	f.abortAt.Store(&end)
 	f.stopping.Store(true)
@@ -348,7 +351,7 @@
 // closes connections that carry no request.
 func (f *Front) flush(callers *http.Server) {
 	g := time.Duration(f.settings.GraceMs) * time.Millisecond
-	t := time.Until(*f.abortAt.Load()) + time.Duration(float64(g)*answerReserve)
+	t := time.Until(*f.abortAt.Load()) + reserve(g, answerReserve)
 	ctx, cancel := context.WithTimeout(context.Background(), min(t, flushTime))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
@@ -361,14 +364,24 @@
 func (f *Front) drain(ctx context.Context, earliest, end time.Time) {
 	t := time.NewTicker(50 * time.Millisecond)
 	defer t.Stop()
+	abort := time.NewTimer(time.Until(end))
+	defer abort.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-abort.C:
+			return
 		case n := <-t.C:
-			if n.After(end) || (n.After(earliest) && f.inflight.Load() == 0) {
+			if n.After(earliest) && f.inflight.Load() == 0 {
 				return
 			}
 		}
 	}
 }
+
+// reserve returns how much of the grace period is kept for a part of the shutdown.
+func reserve(grace time.Duration, fraction float64) time.Duration {
+	g := float64(grace)
+	return max(time.Duration(g*fraction), min(minReserve, time.Duration(g*reserveLimit)))
+}
