--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -137,20 +137,28 @@
 		return
 	}
 	streams, keepers := f.reportOrigins(now, s)
-	var to []string
+	var to, far []string
 	if nearDue {
 		s.nearSent = now
-		to = append(to, s.peers.NearRecipients(s.random, near, keepers)...)
+		to = s.peers.NearRecipients(s.random, near, keepers)
 	}
 	if farDue {
 		s.heartbeatSent = now
-		to = append(to, s.peers.Recipients(s.random, near, keepers)...)
+		far = s.peers.Recipients(s.random, near, keepers)
 	}
 	m := f.heartbeat(now, s)
-	f.gossip.Send(m, to)
+	f.gossip.Send(m, append(to, far...))
+	s.traffic.count(m, len(to), len(far))
 	if len(keepers) > 0 {
 		m.Streams = streams
 		f.gossip.Send(m, slices.Collect(maps.Keys(keepers)))
+		n := 0
+		for _, a := range near {
+			if keepers[a] {
+				n++
+			}
+		}
+		s.traffic.count(m, n, len(keepers)-n)
 	}
 }
 
@@ -163,6 +171,7 @@
 	f.meter.opened.Update(float64(opened))
 	f.meter.reused.Update(float64(reused))
 	f.meter.recordProcess(now, s)
+	f.reportTraffic(s)
 	for _, name := range s.sched.Services() {
 		f.reportLimits(s, name)
 		l := s.pool.Load(now, name)
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -46,6 +46,8 @@
 	reused           tally.Gauge
 	disconnects      tally.Counter
 	originsRead      tally.Counter
+	heartbeatsNear   tally.Counter
+	heartbeatsFar    tally.Counter
 	mu               sync.Mutex
 	limits           map[string]*lineLimit
 }
@@ -74,10 +76,22 @@
 		reused:           t.Scope.Gauge("connections_reused"),
 		disconnects:      t.Scope.Counter("platform_losses"),
 		originsRead:      t.Scope.Counter("stream_origins_read"),
+		heartbeatsNear:   heartbeatBytes(t, "near"),
+		heartbeatsFar:    heartbeatBytes(t, "far"),
 		limits:           map[string]*lineLimit{},
 	}
 }
 
+// heartbeatBytes returns the counter of the bytes sent to near or far fronts; see traffic.
+func heartbeatBytes(t *telem.Telemetry, peers string) tally.Counter {
+	return t.Scope.Tagged(map[string]string{"peers": peers}).Counter("heartbeat_bytes_sent")
+}
+
+// recordField exports the size of one part of a heartbeat.
+func (m *meter) recordField(name string, bytes int) {
+	m.telem.Scope.Tagged(map[string]string{"part": name}).Gauge("heartbeat_part_bytes").Update(float64(bytes))
+}
+
 // recordProcess exports the age of the target list, the number of streams whose origin is known
 // and the memory of the process.
 func (m *meter) recordProcess(now time.Duration, s *state) {
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -68,6 +68,8 @@
 	// heartbeatSent is when the last heartbeat was sent, and nearSent when the last one was sent to
 	// the fronts of this data centre.
 	heartbeatSent, nearSent time.Duration
+	// traffic counts the heartbeats sent.
+	traffic traffic
 	// nearRefilled is creditsRefilled for near targets, if the fleet is regional.
 	nearRefilled time.Duration
 	// listChanged is true if the target list has changed since it was last applied, at listApplied.
