--- a/core/conf/front.go
+++ b/core/conf/front.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 	"sigs.k8s.io/yaml"
 
 	"kingcupstand/schema/spec"
@@ -13,20 +14,29 @@
 // because the platform writes the file and may add keys. The settings are nil if
 // there are problems.
 func ParseFront(text []byte) (*spec.Front, []Problem) {
+	return parseLenient(text, &spec.Front{}, (*problems).front)
+}
+
+// ParseKeeper does the same with the settings of a keeper.
+func ParseKeeper(text []byte) (*spec.Keeper, []Problem) {
+	return parseLenient(text, &spec.Keeper{}, (*problems).keeper)
+}
+
+// parseLenient parses settings into s and checks them. It ignores unknown keys.
+func parseLenient[S proto.Message](text []byte, s S, check func(*problems, S)) (none S, list []Problem) {
 	var ps problems
 	j, err := yaml.YAMLToJSON(text)
 	if err != nil {
 		ps.add("", "not YAML: %s", oneLine(err))
-		return nil, ps
+		return none, ps
 	}
-	s := &spec.Front{}
 	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(j, s); err != nil {
 		ps.add("", "%s", oneLine(err))
-		return nil, ps
+		return none, ps
 	}
-	ps.front(s)
+	check(&ps, s)
 	if len(ps) > 0 {
-		return nil, ps
+		return none, ps
 	}
 	return s, nil
 }
@@ -67,7 +77,22 @@
 	if s.WarmOvershoot < 0 || s.WarmSlack < 0 {
 		p.add("warm-overshoot", "expected a factor and a slack of at least 0")
 	}
-	switch s.GetLogs().GetLevel() {
+	p.logLevel(s.GetLogs())
+}
+
+func (p *problems) keeper(s *spec.Keeper) {
+	if s.Name == "" {
+		p.add("name", "expected the process's name")
+	}
+	p.ipPort("peer", s.Peer)
+	if s.Metrics != "" {
+		p.ipPort("metrics", s.Metrics)
+	}
+	p.logLevel(s.GetLogs())
+}
+
+func (p *problems) logLevel(l *spec.Logs) {
+	switch l.GetLevel() {
 	case "", "debug", "info", "error":
 	default:
 		p.add("logs.level", "expected debug, info or error")
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -50,6 +50,7 @@
 	cryptorand "crypto/rand"
 
 	"golang.org/x/net/netutil"
+	"storj.io/drpc"
 
 	"kingcupstand/core/plan"
 	"kingcupstand/core/poison"
@@ -185,7 +186,9 @@
 	for _, l := range ls {
 		g.Go(func() { errs <- l.run() })
 	}
-	g.Go(func() { errs <- f.gossip.Serve(inner, f) })
+	g.Go(func() {
+		errs <- f.gossip.Serve(inner, func(m drpc.Mux) error { return wire.DRPCRegisterFront(m, f) })
+	})
 	g.Go(func() { f.gossip.Run(f.receive) })
 	g.Go(func() { f.source.Run(inner, f) })
 	g.Go(func() { f.dialer.Run(inner) })
--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -148,6 +148,7 @@
 	}
 	m := f.heartbeat(now, s)
 	f.gossip.Send(m, append(to, far...))
+	f.reportRunning(now, s)
 	s.traffic.count(m, len(to), len(far))
 	if len(keepers) > 0 {
 		m.Streams = streams
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -46,6 +46,7 @@
 	reused           tally.Gauge
 	disconnects      tally.Counter
 	originsRead      tally.Counter
+	recordsRead      tally.Counter
 	heartbeatsNear   tally.Counter
 	heartbeatsFar    tally.Counter
 	mu               sync.Mutex
@@ -76,6 +77,7 @@
 		reused:           t.Scope.Gauge("connections_reused"),
 		disconnects:      t.Scope.Counter("platform_losses"),
 		originsRead:      t.Scope.Counter("stream_origins_read"),
+		recordsRead:      t.Scope.Counter("stream_records_read"),
 		heartbeatsNear:   heartbeatBytes(t, "near"),
 		heartbeatsFar:    heartbeatBytes(t, "far"),
 		limits:           map[string]*lineLimit{},
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -125,12 +125,23 @@
 	if q.call.FirstAttempt != "" {
 		id = origin.ID(q.call.FirstAttempt)
 	}
+	q.released = func(now time.Duration, s *state) { s.running.End(now, id, o, q.whole) }
 	q.front.loop.Post(func(now time.Duration, s *state) {
 		s.origins.Add(now, id, o)
 		s.changed = true
+		if s.running.Begin(id, o) {
+			q.front.reportBegun(s, id, o)
+		}
 	})
 }
 
+// releaseOrigin notes that the stream is no longer in progress here.
+func (q *request) releaseOrigin() {
+	if q.released != nil {
+		q.front.loop.Post(q.released)
+	}
+}
+
 // basis is from what the origin of a stream is known.
 type basis string
 
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -108,6 +108,10 @@
 	basis basis
 	// stream is the streamed response that the caller is receiving; nil before its start.
 	stream *stream
+	// released notes that the stream is no longer in progress; nil if callers can't resume it.
+	released func(time.Duration, *state)
+	// whole is true if the caller has got the whole response.
+	whole bool
 	// next is the exchange that has taken the request over from a silent target; nil if none has.
 	next    *exchange
 	summary summary
@@ -156,6 +160,7 @@
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	defer context.AfterFunc(q.front.aborted, func() { stop(errStopped) })()
+	defer q.releaseOrigin()
 	q.loop(ctx)
 }
 
--- a/io/front/runs.go
+++ b/io/front/runs.go
@@ -54,6 +54,7 @@
 		}
 		if share.First(origin.ID(r.Id), fronts) == f.settings.Peer {
 			f.tasks.Go(func() { f.runReadRuns(r) })
+			f.readRecords(s, r)
 			n++
 		}
 	}
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -70,6 +70,10 @@
 	heartbeatSent, nearSent time.Duration
 	// traffic counts the heartbeats sent.
 	traffic traffic
+	// running are the streams in progress, and recordsRead the targets whose keepers' records were
+	// read; see Front.reportRunning.
+	running     *origin.Running
+	recordsRead map[string]bool
 	// nearRefilled is creditsRefilled for near targets, if the fleet is regional.
 	nearRefilled time.Duration
 	// listChanged is true if the target list has changed since it was last applied, at listApplied.
@@ -123,9 +127,11 @@
 		length:    length.New(),
 		drains:    drain.New(),
 		origins:   origin.New(),
+		running:   origin.NewRunning(),
 		poison:    poison.New(),
 		reachable: map[string]bool{},
 
+		recordsRead: map[string]bool{},
 		crashChecks: map[string]*crashCheck{},
 	}
 }
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -117,6 +117,7 @@
 	e.sound = e.sound || !unframed(e.response)
 	q.open(e.response, e.choice.Version)
 	q.observeLength()
+	q.whole = true
 	q.finish(http.StatusOK, "answered")
 	return result{done: true}
 }
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -10,11 +10,12 @@
 // # Usage
 //
 //	b, err := gossip.New("192.0.2.1:7600", log)
-//	go b.Serve(ctx, server)
+//	go b.Serve(ctx, func(m drpc.Mux) error { return wire.DRPCRegisterFront(m, server) })
 //	go b.Run(func(m *wire.Beat) { ... })
 //	b.Send(message, []string{"192.0.2.7:7600"})
 //	reply, err := b.Fetch(ctx, "192.0.2.7:7600", request)
 //	origin, err := b.Origin(ctx, "192.0.2.7:7600", request)
+//	records, err := b.Records(ctx, "192.0.2.30:7600")
 //	err = b.Close()
 package gossip
 
@@ -28,6 +29,7 @@
 
 	"github.com/go-logr/logr"
 	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -43,6 +45,8 @@
 	fetchTimeout = 700 * time.Millisecond
 	// originTimeout is a small part of the time that callers wait for a stream to go on.
 	originTimeout = 200 * time.Millisecond
+	// recordsTimeout bounds the reading of a keeper's records, which are some kilobytes.
+	recordsTimeout = 400 * time.Millisecond
 )
 
 // Transport sends and receives heartbeats and fetches documents. It is safe for concurrent
@@ -81,11 +85,11 @@
 	return errors.Join(b.conn.Close(), err)
 }
 
-// Serve answers peers' fetches from s until ctx ends.
-func (b *Transport) Serve(ctx context.Context, s wire.DRPCFrontServer) error {
+// Serve answers peers' calls until ctx ends. Register registers the service that answers them.
+func (b *Transport) Serve(ctx context.Context, register func(drpc.Mux) error) error {
 	m := drpcmux.New()
-	if err := wire.DRPCRegisterFront(m, s); err != nil {
-		return fmt.Errorf("register front service: %w", err)
+	if err := register(m); err != nil {
+		return fmt.Errorf("register service: %w", err)
 	}
 	if err := drpcserver.New(m).Serve(ctx, b.listener); err != nil {
 		return fmt.Errorf("serve peers: %w", err)
@@ -138,20 +142,27 @@
 // Fetch fetches documents from a peer that are newer than the revisions in q. It fails
 // after fetchTimeout at the latest.
 func (b *Transport) Fetch(ctx context.Context, peer string, q *wire.FetchRequest) (*wire.FetchReply, error) {
-	return call(ctx, peer, fetchTimeout, func(ctx context.Context, c wire.DRPCFrontClient) (*wire.FetchReply, error) {
+	return call(ctx, peer, fetchTimeout, wire.NewDRPCFrontClient, func(ctx context.Context, c wire.DRPCFrontClient) (*wire.FetchReply, error) {
 		return c.Fetch(ctx, q)
 	})
 }
 
 // Origin asks a peer what began a stream. It fails after originTimeout at the latest.
 func (b *Transport) Origin(ctx context.Context, peer string, q *wire.OriginRequest) (*wire.OriginReply, error) {
-	return call(ctx, peer, originTimeout, func(ctx context.Context, c wire.DRPCFrontClient) (*wire.OriginReply, error) {
+	return call(ctx, peer, originTimeout, wire.NewDRPCFrontClient, func(ctx context.Context, c wire.DRPCFrontClient) (*wire.OriginReply, error) {
 		return c.Origin(ctx, q)
 	})
 }
 
-// call calls a peer on a connection of its own.
-func call[T any](ctx context.Context, peer string, timeout time.Duration, f func(context.Context, wire.DRPCFrontClient) (T, error)) (r T, err error) {
+// Records asks a keeper for its records. It fails after recordsTimeout at the latest.
+func (b *Transport) Records(ctx context.Context, keeper string) (*wire.RecordsReply, error) {
+	return call(ctx, keeper, recordsTimeout, wire.NewDRPCKeeperClient, func(ctx context.Context, c wire.DRPCKeeperClient) (*wire.RecordsReply, error) {
+		return c.Records(ctx, &wire.RecordsRequest{})
+	})
+}
+
+// call calls a peer on a connection of its own, with the client that open returns for it.
+func call[C, T any](ctx context.Context, peer string, timeout time.Duration, open func(drpc.Conn) C, f func(context.Context, C) (T, error)) (r T, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	d := net.Dialer{}
@@ -160,7 +171,7 @@
 		return r, fmt.Errorf("connect to peer: %w", err)
 	}
 	c := drpcconn.New(n)
-	r, err = f(ctx, wire.NewDRPCFrontClient(c))
+	r, err = f(ctx, open(c))
 	if err = errors.Join(err, c.Close()); err != nil {
 		return r, fmt.Errorf("call %s: %w", peer, err)
 	}
