--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -67,6 +67,7 @@
 			delete(s.reachable, a)
 			s.pool.RemovePeer(a)
 			s.sched.RemovePeer(a)
+			s.records.restart(now)
 			f.telem.Log.Info("dependency lost", "dependency", "peer", "peer", a)
 		}
 	}
@@ -86,6 +87,7 @@
 	}
 	f.updateWarming(now, s)
 	f.readRunsDue(now, s)
+	f.readRecordsDue(now, s)
 	f.dispatchAll(now, s)
 	f.fetchNewer(now, s)
 	if now-s.loadReported >= loadReportInterval {
--- a/io/front/records.go
+++ b/io/front/records.go
@@ -14,6 +14,25 @@
 // progress.
 const targetKeepers = 3
 
+// recordsRounds are the times at which records are read that could not be read before, after a front
+// knows its first targets, and after it has lost a peer, which may not have told others of its last
+// streams.
+var recordsRounds = []time.Duration{100 * time.Millisecond, 500 * time.Millisecond, 1200 * time.Millisecond, 2500 * time.Millisecond}
+
+// recordReading is the reading of keepers' records.
+type recordReading struct {
+	// since is when the last peer was lost, and round the next round.
+	since time.Duration
+	round int
+	// read are the targets whose keeper's records were read since then.
+	read map[string]bool
+}
+
+// restart starts the rounds again.
+func (r *recordReading) restart(now time.Duration) {
+	*r = recordReading{since: now, read: map[string]bool{}}
+}
+
 // reportBegun reports a stream that has begun to keepers beside targets of its version. These outlive a
 // loss of all fronts, and no stream can go on where no target of its version is left. It doesn't wait
 // for the next heartbeat, as a stream whose caller has got an event may break off at any time.
@@ -74,10 +93,18 @@
 	return net.JoinHostPort(h, p)
 }
 
-// readRecords starts the reading of the records of the keeper beside a target, unless it was read.
-func (f *Front) readRecords(s *state, t *spec.Replica) {
-	if f.settings.Keepers && !s.recordsRead[t.Id] {
-		f.tasks.Go(func() { f.runReadRecords(t) })
+// readRecordsDue starts the next round of reading records that is due. Each live front reads the records
+// of its part of the keepers.
+func (f *Front) readRecordsDue(now time.Duration, s *state) {
+	r := &s.records
+	if !f.settings.Keepers || s.listedSince == 0 || r.round >= len(recordsRounds) || now-max(s.listedSince, r.since) < recordsRounds[r.round] {
+		return
+	}
+	r.round++
+	for _, t := range s.ownPart(now, s.peers.Live(now), f.settings.Peer) {
+		if !r.read[t.Id] {
+			f.tasks.Go(func() { f.runReadRecords(t) })
+		}
 	}
 }
 
@@ -92,7 +119,7 @@
 		return
 	}
 	f.loop.Post(func(now time.Duration, s *state) {
-		s.recordsRead[t.Id] = true
+		s.records.read[t.Id] = true
 		n := 0
 		for _, m := range r.Streams {
 			for _, id := range m.Streams {
--- a/io/front/runs.go
+++ b/io/front/runs.go
@@ -45,20 +45,24 @@
 		return
 	}
 	s.runsRound++
-	fronts := append(s.peers.Serving(now), f.settings.Peer)
+	ts := s.ownPart(now, s.peers.Serving(now), f.settings.Peer)
+	for _, t := range ts {
+		f.tasks.Go(func() { f.runReadRuns(t) })
+	}
+	f.telem.Log.Info("reading what targets run", "round", s.runsRound, "targets", len(ts))
+}
+
+// ownPart returns the targets of streams that callers may resume which this front reads, of this one
+// and the given peers.
+func (s *state) ownPart(now time.Duration, peers []string, self string) (ts []*spec.Replica) {
+	fronts := append(peers, self)
 	services := s.plan.ResumableServices()
-	n := 0
 	for _, r := range s.roster.Replicas(now) {
-		if r.Version == "" || !services[r.Service] {
-			continue
-		}
-		if share.First(origin.ID(r.Id), fronts) == f.settings.Peer {
-			f.tasks.Go(func() { f.runReadRuns(r) })
-			f.readRecords(s, r)
-			n++
+		if r.Version != "" && services[r.Service] && share.First(origin.ID(r.Id), fronts) == self {
+			ts = append(ts, r)
 		}
 	}
-	f.telem.Log.Info("reading what targets run", "round", s.runsRound, "targets", n)
+	return ts
 }
 
 // runReadRuns reads the list of a target and records the origins of what it runs, once this
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -70,10 +70,10 @@
 	heartbeatSent, nearSent time.Duration
 	// traffic counts the heartbeats sent.
 	traffic traffic
-	// running are the streams in progress, and recordsRead the targets whose keepers' records were
-	// read; see Front.reportRunning.
-	running     *origin.Running
-	recordsRead map[string]bool
+	// running are the streams in progress, which are reported to keepers beside targets, and records
+	// is the reading of what these keep.
+	running *origin.Running
+	records recordReading
 	// nearRefilled is creditsRefilled for near targets, if the fleet is regional.
 	nearRefilled time.Duration
 	// listChanged is true if the target list has changed since it was last applied, at listApplied.
@@ -131,7 +131,7 @@
 		poison:    poison.New(),
 		reachable: map[string]bool{},
 
-		recordsRead: map[string]bool{},
+		records:     recordReading{read: map[string]bool{}},
 		crashChecks: map[string]*crashCheck{},
 	}
 }
