--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -129,7 +129,8 @@
 }
 
 // sendDue sends the heartbeats that are due. Peers near this front, if any, get heartbeats of
-// their own. The keepers of streams that have begun get the next one in any case.
+// their own. The keepers of streams that have begun get the next one in any case, or in a fleet that
+// is large a message with these streams alone.
 func (f *Front) sendDue(now time.Duration, s *state, near []string, all int) {
 	due := func(sent time.Duration, fronts int) bool {
 		return now-sent >= maxHeartbeatInterval || s.changed && now-sent >= heartbeatInterval(fronts)
@@ -138,7 +139,13 @@
 	if !nearDue && !farDue {
 		return
 	}
-	streams, keepers := f.reportOrigins(now, s)
+	streams := f.reportOrigins(now, s)
+	keepers := map[string]bool{}
+	if near == nil {
+		for p := range streams {
+			keepers[p] = true
+		}
+	}
 	var to, far []string
 	if nearDue {
 		s.nearSent = now
@@ -152,16 +159,27 @@
 	f.gossip.Send(m, append(to, far...))
 	f.reportRunning(now, s)
 	s.traffic.count(m, len(to), len(far))
+	if near != nil {
+		f.sendStreams(s, streams, near)
+		return
+	}
 	if len(keepers) > 0 {
-		m.Streams = streams
+		m.Streams = merged(streams)
 		f.gossip.Send(m, slices.Collect(maps.Keys(keepers)))
-		n := 0
-		for _, a := range near {
-			if keepers[a] {
-				n++
-			}
+		s.traffic.count(m, 0, len(keepers))
+	}
+}
+
+// sendStreams sends each keeper the streams that it is to know of.
+func (f *Front) sendStreams(s *state, streams map[string][]*wire.StreamOrigin, near []string) {
+	for p, ms := range streams {
+		m := &wire.Beat{Peer: f.settings.Peer, Incarnation: f.incarnation, Sequence: s.sequence, StreamsOnly: true, Streams: ms}
+		f.gossip.Send(m, []string{p})
+		if slices.Contains(near, p) {
+			s.traffic.count(m, 1, 0)
+		} else {
+			s.traffic.count(m, 0, 1)
 		}
-		s.traffic.count(m, n, len(keepers)-n)
 	}
 }
 
@@ -240,6 +258,10 @@
 // receive applies a peer's heartbeat unless it is a duplicate or out of order.
 func (f *Front) receive(m *wire.Beat) {
 	f.loop.Post(func(now time.Duration, s *state) {
+		if m.StreamsOnly {
+			f.mergeOrigins(now, s, m.Streams)
+			return
+		}
 		if !s.peers.Observe(now, peers.Heartbeat{
 			Peer: m.Peer, Incarnation: m.Incarnation, Sequence: m.Sequence,
 			Plan: m.Plan, Directory: m.Directory, DataCentre: m.DataCentre, Leaving: m.Leaving, Peers: m.Peers,
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -227,24 +227,43 @@
 	return &wire.OriginReply{Service: g.Service, Version: g.Version, Recorded: g.recorded, Era: g.at.Era, Revision: g.at.Revision}, nil
 }
 
-// reportOrigins returns the streams that peers are still to be told of, and the peers.
-func (f *Front) reportOrigins(now time.Duration, s *state) (streams []*wire.StreamOrigin, to map[string]bool) {
-	to = map[string]bool{}
-	by := map[origin.Origin]*wire.StreamOrigin{}
+// reportOrigins returns the streams that peers are still to be told of, by the keepers of each.
+func (f *Front) reportOrigins(now time.Duration, s *state) map[string][]*wire.StreamOrigin {
+	to := map[string][]*wire.StreamOrigin{}
 	ps := s.peers.Serving(now)
 	for _, v := range s.origins.Unreported() {
-		m := by[v.Origin]
-		if m == nil {
-			m = &wire.StreamOrigin{Service: v.Service, Version: v.Version}
-			by[v.Origin] = m
-			streams = append(streams, m)
-		}
-		m.Streams = append(m.Streams, v.ID)
 		for _, p := range share.Nearest(v.ID, ps, keepers) {
-			to[p] = true
+			to[p] = addStream(to[p], v)
+		}
+	}
+	return to
+}
+
+// addStream adds a stream to those of its origin in a list.
+func addStream(ms []*wire.StreamOrigin, v origin.Stream) []*wire.StreamOrigin {
+	for _, m := range ms {
+		if m.Service == v.Service && m.Version == v.Version {
+			m.Streams = append(m.Streams, v.ID)
+			return ms
+		}
+	}
+	return append(ms, &wire.StreamOrigin{Service: v.Service, Version: v.Version, Streams: []uint64{v.ID}})
+}
+
+// merged returns the streams of several lists, each once.
+func merged(lists map[string][]*wire.StreamOrigin) (ms []*wire.StreamOrigin) {
+	known := map[uint64]bool{}
+	for _, l := range lists {
+		for _, m := range l {
+			for _, id := range m.Streams {
+				if !known[id] {
+					known[id] = true
+					ms = addStream(ms, origin.Stream{ID: id, Origin: origin.Origin{Service: m.Service, Version: m.Version}})
+				}
+			}
 		}
 	}
-	return streams, to
+	return ms
 }
 
 // mergeOrigins records the streams that a peer's heartbeat reports.
--- a/io/front/records.go
+++ b/io/front/records.go
@@ -54,7 +54,7 @@
 
 func (f *Front) sendReport(s *state, r origin.Report) {
 	m := &wire.Beat{
-		Peer: f.settings.Peer, Incarnation: f.incarnation, Sequence: s.sequence, AllStreams: r.All,
+		Peer: f.settings.Peer, Incarnation: f.incarnation, Sequence: s.sequence, AllStreams: r.All, StreamsOnly: true,
 		Streams: []*wire.StreamOrigin{{Service: r.Service, Version: r.Version, Streams: r.Streams}},
 	}
 	f.gossip.Send(m, r.To)
