--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -280,20 +280,29 @@
 	return as[:min(len(as), sampled)]
 }
 
+// remoteFetches is one in how many choices of Newer is made among all peers.
+const remoteFetches = 4
+
 // Newer returns a random live peer that holds a plan or directory with a higher revision
-// than the given one, or false if there is none. The choice is random so that a peer which
-// can't be reached isn't asked every time, and so that a peer on a small instance isn't
-// asked by all fronts at once.
+// than the given one, or false if there is none. Mostly it is one of this data centre, as
+// documents are large. The choice is random so that a peer which can't be reached isn't asked
+// every time, and so that a peer on a small instance isn't asked by all fronts at once.
 func (t *Table) Newer(now time.Duration, plan, directory uint64, r *rand.Rand) (string, bool) {
-	var as []string
+	var as, near []string
 	for a, e := range t.peers {
 		if t.Alive(now, a) && (e.last.Plan > plan || e.last.Directory > directory) {
 			as = append(as, a)
+			if e.last.DataCentre == t.dataCentre {
+				near = append(near, a)
+			}
 		}
 	}
 	if len(as) == 0 {
 		return "", false
 	}
+	if len(near) > 0 && r.IntN(remoteFetches) > 0 {
+		as = near
+	}
 	sort.Strings(as)
 	return as[r.IntN(len(as))], true
 }
--- a/core/peers/peers_test.go
+++ b/core/peers/peers_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -116,6 +117,31 @@
 	}
 }
 
+// Documents are large, and links between data centres are scarce: most are fetched from a front of the
+// same data centre, if one has them. Others are still asked at times, as it may not respond.
+func TestNewerPrefersTheOwnDataCentre(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	p := peers.New("self", 1, nil)
+	for i := range 12 {
+		p.Observe(0, peers.Heartbeat{Peer: fmt.Sprint("far-", i), Incarnation: 1, Sequence: 1, Plan: 7, DataCentre: 2})
+	}
+	p.Observe(0, peers.Heartbeat{Peer: "near-old", Incarnation: 1, Sequence: 1, Plan: 6, DataCentre: 1})
+	if a, ok := p.Newer(0, 6, 0, r); !ok || !strings.HasPrefix(a, "far-") {
+		t.Errorf("got %q, %v, want one of the others, which alone are newer", a, ok)
+	}
+	p.Observe(0, peers.Heartbeat{Peer: "near", Incarnation: 1, Sequence: 1, Plan: 7, DataCentre: 1})
+	const calls = 400
+	near := 0
+	for range calls {
+		if a, _ := p.Newer(0, 6, 0, r); a == "near" {
+			near++
+		}
+	}
+	if near < calls*2/3 || near > calls*9/10 {
+		t.Errorf("the near peer is asked in %d of %d calls, want most but not all", near, calls)
+	}
+}
+
 // On each side of a partition, the live fronts are numbered from 0, so that each side has
 // primary watchers.
 func TestPositionCountsLivePeersOnly(t *testing.T) {
