--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -129,9 +129,7 @@
 	q.front.loop.Post(func(now time.Duration, s *state) {
 		s.origins.Add(now, id, o)
 		s.changed = true
-		if s.running.Begin(id, o) {
-			q.front.reportBegun(s, id, o)
-		}
+		q.front.reportBegun(s, id, o)
 	})
 }
 
@@ -227,7 +225,7 @@
 	return &wire.OriginReply{Service: g.Service, Version: g.Version, Recorded: g.recorded, Era: g.at.Era, Revision: g.at.Revision}, nil
 }
 
-// reportOrigins returns the streams that peers are still to be told of, by the keepers of each.
+// reportOrigins returns the streams that are still to be reported, by the peers that keep them.
 func (f *Front) reportOrigins(now time.Duration, s *state) map[string][]*wire.StreamOrigin {
 	to := map[string][]*wire.StreamOrigin{}
 	ps := s.peers.Serving(now)
--- a/io/front/records.go
+++ b/io/front/records.go
@@ -15,8 +15,8 @@
 const targetKeepers = 3
 
 // recordsRounds are the times at which records are read that could not be read before, after a front
-// knows its first targets, and after it has lost a peer, which may not have told others of its last
-// streams.
+// knows its first targets, and after it has lost a peer, which may not have reported its last streams
+// to other fronts.
 var recordsRounds = []time.Duration{100 * time.Millisecond, 500 * time.Millisecond, 1200 * time.Millisecond, 2500 * time.Millisecond}
 
 // recordReading is the reading of keepers' records.
@@ -33,11 +33,11 @@
 	*r = recordReading{since: now, read: map[string]bool{}}
 }
 
-// reportBegun reports a stream that has begun to keepers beside targets of its version. These outlive a
+// reportBegun notes that a stream is in progress, and reports it to keepers beside targets of its version. These outlive a
 // loss of all fronts, and no stream can go on where no target of its version is left. It doesn't wait
 // for the next heartbeat, as a stream whose caller has got an event may break off at any time.
 func (f *Front) reportBegun(s *state, id uint64, o origin.Origin) {
-	if f.settings.Keepers {
+	if f.settings.Keepers && s.running.Begin(id, o) {
 		f.sendReport(s, origin.Report{Origin: o, Streams: []uint64{id}, To: f.keepersOf(s, o)})
 	}
 }
