--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -129,8 +129,8 @@
 }
 
 // sendDue sends the heartbeats that are due. Peers near this front, if any, get heartbeats of
-// their own. The keepers of streams that have begun get the next one in any case, or in a fleet that
-// is large a message with these streams alone.
+// their own. The keepers of streams that have begun get the next one in any case; in a fleet that a
+// heartbeat doesn't reach as a whole, they get a message with these streams alone.
 func (f *Front) sendDue(now time.Duration, s *state, near []string, all int) {
 	due := func(sent time.Duration, fronts int) bool {
 		return now-sent >= maxHeartbeatInterval || s.changed && now-sent >= heartbeatInterval(fronts)
--- a/io/front/records.go
+++ b/io/front/records.go
@@ -33,9 +33,10 @@
 	*r = recordReading{since: now, read: map[string]bool{}}
 }
 
-// reportBegun notes that a stream is in progress, and reports it to keepers beside targets of its version. These outlive a
-// loss of all fronts, and no stream can go on where no target of its version is left. It doesn't wait
-// for the next heartbeat, as a stream whose caller has got an event may break off at any time.
+// reportBegun notes that a stream is in progress, and reports it to keepers beside targets of its
+// version. These outlive a loss of all fronts, and no stream can go on where no target of its version
+// is left. It doesn't wait for the next heartbeat, as a stream whose caller has got an event may break
+// off at any time.
 func (f *Front) reportBegun(s *state, id uint64, o origin.Origin) {
 	if f.settings.Keepers && s.running.Begin(id, o) {
 		f.sendReport(s, origin.Report{Origin: o, Streams: []uint64{id}, To: f.keepersOf(s, o)})
--- a/io/front/traffic.go
+++ b/io/front/traffic.go
@@ -7,7 +7,8 @@
 	"kingcupstand/schema/wire"
 )
 
-// traffic counts the bytes of the heartbeats that a front sends. It belongs to the control loop.
+// traffic counts the bytes that a front sends to its peers and to keepers as datagrams. It belongs to
+// the control loop.
 type traffic struct {
 	// near and far are the bytes sent since the last report to fronts that get heartbeats of their
 	// own, as they are in the same data centre, and to others; without the headers of datagrams.
@@ -16,12 +17,12 @@
 	sample *wire.Beat
 }
 
-// count adds a heartbeat that is sent to so many near and far fronts.
+// count adds a message that is sent to so many near and far fronts.
 func (c *traffic) count(m *wire.Beat, near, far int) {
 	n := proto.Size(m)
 	c.near += n * near
 	c.far += n * far
-	if far > 0 || c.sample == nil {
+	if !m.StreamsOnly {
 		c.sample = m
 	}
 }
--- a/io/front/traffic_test.go
+++ b/io/front/traffic_test.go
@@ -30,4 +30,10 @@
 	if ss := fieldSizes(nil); len(ss) > 0 {
 		t.Errorf("got %v without a heartbeat", ss)
 	}
+	c := traffic{}
+	c.count(m, 2, 1)
+	c.count(&wire.Beat{Peer: m.Peer, StreamsOnly: true}, 0, 3)
+	if c.sample != m || c.near != 2*sum || c.far <= sum {
+		t.Errorf("got %d and %d bytes and the parts of %v, want those of the heartbeat", c.near, c.far, c.sample)
+	}
 }
