--- a/io/front/send.go
+++ b/io/front/send.go
@@ -289,7 +289,7 @@
 			return a, r, nil
 		}
 		e.unexpected = true
-		q.front.log("stray", "answer to another request", "request-id", q.call.ID, "answers", r.ID, "target", e.choice.ID, "reused", e.conn.Reused)
+		q.front.log("stray", "answer to another request", "request-id", q.call.ID, "answers", r.ID, "target", e.choice.ID, "reused", e.conn.Reused, "status", a.StatusCode, "not-run", r.NotRun)
 		if !e.conn.Reused || n >= maxUnexpected {
 			return nil, r, errWrongRequest
 		}
@@ -330,7 +330,9 @@
 		return result{sent: true, mayHaveRun: true, err: errNoReceipt}
 	}
 	if success && e.request.route.Kind == plan.Stream {
-		return result{sent: true, mayHaveRun: true, err: e.readFirst()}
+		err := e.readFirst()
+		e.logRest(err)
+		return result{sent: true, mayHaveRun: true, err: err}
 	}
 	return result{sent: true, mayHaveRun: true, err: e.readPlain(success)}
 }
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -58,6 +58,21 @@
 	return e.streamError(e.firstErr)
 }
 
+// logRest logs how a target's response to a request that resumes a stream begins. Err is why it
+// isn't used.
+func (e *exchange) logRest(err error) {
+	if e.lastEvent == "" {
+		return
+	}
+	first := ""
+	if len(e.first) > 0 {
+		first = e.first[0].ID
+	}
+	a := e.response
+	e.request.front.log("rest", "rest of a stream", "request-id", e.request.call.ID, "target", e.choice.ID, "version", e.choice.Version, "after", e.lastEvent,
+		"first", first, "status", a.StatusCode, "type", a.Header.Get("Content-Type"), "framed", !unframed(a), "error", errorText(err))
+}
+
 // streamError returns the error of a stream whose last read returned err, or nil if it is
 // complete.
 func (e *exchange) streamError(err error) error {
