--- a/core/event/event.go
+++ b/core/event/event.go
@@ -10,10 +10,15 @@
 //	s := event.New()
 //	es, err := s.Push(chunk)
 //	for _, e := range es {
+//		if at, err = at.Next(e); err != nil { ... } // the stream can't go on with e
 //		send(e.Raw) // the event as received, with its closing blank line
-//		last = e.ID
 //	}
 //	if s.Partial() { ... } // the stream ended within an event
+//
+// A Sequence tells whether an event follows the ones before it. A stream that goes on with the
+// response of another target is checked from where the first one broke off:
+//
+//	at = at.Join() // or event.After(lastEventID, step)
 package event
 
 import (
@@ -34,9 +39,22 @@
 	// caller owns them.
 	Raw []byte
 	// ID is the event's id field, or "" if it has none.
-	ID string
+	ID   string
+	Kind Kind
 }
 
+// Kind is what a block of lines is.
+type Kind uint8
+
+const (
+	// Message is an event for the caller.
+	Message Kind = iota
+	// Comment has only comments and reconnection times, or nothing.
+	Comment
+	// Malformed has a line that is no field of an event, as in a document of another type.
+	Malformed
+)
+
 // Splitter splits one stream. It holds the bytes of the event that is not yet complete.
 // It is not safe for concurrent use.
 type Splitter struct {
@@ -63,7 +81,7 @@
 			return es, nil
 		}
 		t := bytes.Clone(s.rest[:n])
-		es = append(es, Event{Raw: t, ID: id(t)})
+		es = append(es, parse(t))
 		s.rest, s.line = s.rest[n:], 0
 	}
 }
@@ -91,13 +109,27 @@
 	}
 }
 
-// id returns the value of an event's last id field, or "".
-func id(text []byte) string {
-	v := ""
-	for l := range strings.SplitSeq(string(text), "\n") {
-		if r, ok := strings.CutPrefix(strings.TrimSuffix(l, "\r"), "id:"); ok {
-			v = strings.TrimPrefix(r, " ")
+// parse returns the event of a block of lines.
+func parse(raw []byte) Event {
+	e := Event{Raw: raw, Kind: Comment}
+	for l := range strings.Lines(strings.TrimPrefix(string(raw), "\ufeff")) {
+		l = strings.TrimSuffix(strings.TrimSuffix(l, "\n"), "\r")
+		n, v, ok := strings.Cut(l, ":")
+		switch {
+		case l == "" || n == "":
+			continue // the end of the block, or a comment
+		case n == "retry":
+			continue
+		case n == "id":
+			e.ID = strings.TrimPrefix(v, " ")
+		case n != "data" && n != "event" && (!ok || strings.Trim(n, nameLetters) != ""):
+			e.Kind = Malformed
+			return e
 		}
+		e.Kind = Message
 	}
-	return v
+	return e
 }
+
+// nameLetters are the letters of the names of fields that this package doesn't know.
+const nameLetters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_"
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -106,6 +106,9 @@
 	origin *origin.Origin
 	// basis is from what the origin is known, if the caller resumes a stream.
 	basis basis
+	// step is the largest difference between the ids of two events of the route's streams; 0 if it
+	// is unknown.
+	step uint64
 	// stream is the streamed response that the caller is receiving; nil before its start.
 	stream *stream
 	// released notes that the stream is no longer in progress; nil if callers can't resume it.
@@ -306,6 +309,7 @@
 		q.priorTime = s.spent.Estimate(now, q.route.Name, q.call.Timeout, q.resumes())
 		q.expectedFirstByte = s.pool.ExpectedFirstByte(q.service, q.call.PromptTokens)
 		if q.route.Kind == plan.Stream {
+			q.step = s.steps.Step(q.route.Name)
 			q.expectedEvents = s.length.Expect(q.route.Name, q.call.OutputHint)
 		}
 		if q.expectedEvents > 0 {
@@ -391,7 +395,7 @@
 			return nil
 		}
 		q.summary.predicted, q.summary.running, q.summary.listAge = g.choice.ExpectedFirstByte, g.choice.Running, g.listAge
-		return q.newExchange(ctx, g.choice, q.lastEvent(), q.dispatches)
+		return q.newExchange(ctx, g.choice, q.place(), q.dispatches)
 	}
 }
 
@@ -448,8 +452,8 @@
 	if v.mayHaveRun && (q.probing || !q.route.Repeatable()) {
 		return false
 	}
-	if q.stream != nil && q.lastEvent() == "" {
-		return false // events without ids would come twice
+	if q.stream != nil && !q.stream.at.Joinable() {
+		return false // whether events come twice or are missing could not be checked
 	}
 	if !v.sent {
 		return true
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -46,23 +46,24 @@
 	errNotRun       = errors.New("target did not run the request")
 	errServerError  = errors.New("target returned a server error")
 	errPartialEvent = errors.New("stream ended in the middle of an event")
-	errNoEvents     = errors.New("stream without length ended before its first event")
+	errNoEvents     = errors.New("stream ended before its first event")
 	errDeclined     = errors.New("target declined to go on with the response")
+	errNoStream     = errors.New("response is no stream of events")
 	errSilenceEnded = errors.New("silent target has gone on")
 	errBodyTooLong  = errors.New("response body is too long")
 )
 
-// newExchange returns an exchange of the request with a target that has a slot for it. Sends is
-// the number of earlier dispatches.
-func (q *request) newExchange(ctx context.Context, c pool.Choice, lastEvent string, sends int) *exchange {
+// newExchange returns an exchange of the request with a target that has a slot for it. A stream goes
+// on at the place at. Sends is the number of earlier dispatches.
+func (q *request) newExchange(ctx context.Context, c pool.Choice, at event.Sequence, sends int) *exchange {
 	e := &exchange{
-		request: q, choice: c, lastEvent: lastEvent, sends: sends, parent: ctx, started: time.Now(),
+		request: q, choice: c, from: at, at: at.Join(), sends: sends, parent: ctx, started: time.Now(),
 		prompt: q.call.PromptTokens, outcome: pool.Broken, events: event.New(),
 	}
-	e.takeover.lastEvent = lastEvent
+	e.takeover.at = at
 	e.ctx, e.span = q.front.telem.StartSpan(ctx, "front.send")
 	e.ctx, e.cancel = context.WithCancelCause(e.ctx)
-	q.front.log("sending", "sending", "request-id", q.call.ID, "target", c.ID, "version", c.Version, "resumes", q.call.FirstAttempt, "last-event", lastEvent, "sends", sends, "running", c.Running, "slots", c.Slots,
+	q.front.log("sending", "sending", "request-id", q.call.ID, "target", c.ID, "version", c.Version, "resumes", q.call.FirstAttempt, "last-event", at.Last(), "sends", sends, "running", c.Running, "slots", c.Slots,
 		"predicted-ms", c.ExpectedFirstByte.Milliseconds(), "turn-ms", q.summary.waited.Milliseconds(), "plan", q.plan.Revision(), "list-age-ms", q.summary.listAge.Milliseconds())
 	return e
 }
@@ -107,8 +108,9 @@
 type exchange struct {
 	request *request
 	choice  pool.Choice
-	// lastEvent is the id of the event after which a stream goes on; "" for a new stream.
-	lastEvent string
+	// from is the place in the stream at which the response is to begin, and at the place after the
+	// last event that was read.
+	from, at event.Sequence
 	// sends is the number of earlier dispatches of the request. attemptsLeft and dispatchesLeft
 	// are how many more targets may get it, and may be tried.
 	sends                        int
@@ -257,7 +259,7 @@
 		Target:      e.choice.ID,
 		Timeout:     time.Until(q.deadline),
 		Workspace:   q.workspaceName(),
-		LastEventID: e.lastEvent,
+		LastEventID: e.from.Last(),
 	})
 	sent, err := e.conn.Send(dial.Request{
 		Method: q.http.Method, URI: q.http.RequestURI, Host: q.http.Host, Header: h, Body: q.body,
@@ -306,11 +308,12 @@
 	return q.workspace.Name
 }
 
-func (q *request) lastEvent() string {
-	if q.stream != nil && q.stream.last != "" {
-		return q.stream.last
+// place returns the place in the stream at which the next response is to begin.
+func (q *request) place() event.Sequence {
+	if q.stream != nil {
+		return q.stream.at
 	}
-	return q.call.LastEventID
+	return event.After(q.call.LastEventID, q.step)
 }
 
 // handle reads the beginning of a response by its status and headers. A successful response
@@ -330,7 +333,10 @@
 		return result{sent: true, mayHaveRun: true, err: errNoReceipt}
 	}
 	if success && e.request.route.Kind == plan.Stream {
-		err := e.readFirst()
+		err := e.checkRest(a)
+		if err == nil {
+			err = e.readFirst()
+		}
 		e.logRest(err)
 		return result{sent: true, mayHaveRun: true, err: err}
 	}
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"kingcupstand/core/drain"
+	"kingcupstand/core/event"
 	"kingcupstand/core/length"
 	"kingcupstand/core/origin"
 	"kingcupstand/core/peers"
@@ -38,6 +39,7 @@
 	disconnected bool
 	spent        *spent.Estimator
 	length       *length.Estimator
+	steps        *event.Steps
 	origins      *origin.Table
 	poison       *poison.Table
 	// drains are the operator's requests to drain data centres.
@@ -125,6 +127,7 @@
 		shares:    newSharing(s),
 		spent:     spent.New(),
 		length:    length.New(),
+		steps:     event.NewSteps(),
 		drains:    drain.New(),
 		origins:   origin.New(),
 		running:   origin.NewRunning(),
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
@@ -19,8 +20,8 @@
 type stream struct {
 	// version is the version of the target that began it.
 	version string
-	// last is the id of the last event that was forwarded.
-	last string
+	// at is the place after the last event that was forwarded.
+	at event.Sequence
 	// events counts the events that were forwarded.
 	events int
 	// forwarded is when an event was last forwarded, and gap the longest time between two.
@@ -28,8 +29,8 @@
 	gap       time.Duration
 }
 
-// read returns the next complete events of the target's response. It returns some or an error,
-// which is io.EOF at the end of the stream, or both.
+// read returns the next complete events of the target's response that follow one another. It
+// returns some or an error, which is io.EOF at the end of the stream, or both.
 func (e *exchange) read() ([]event.Event, error) {
 	if e.buffer == nil {
 		e.buffer = make([]byte, readBuffer)
@@ -40,6 +41,9 @@
 		if perr != nil {
 			err = perr // an error of the connection comes again, or the event never ends
 		}
+		if es, perr = e.follow(es); perr != nil {
+			err = perr
+		}
 		if len(es) > 0 || err != nil {
 			e.received += len(es)
 			e.noteBegun()
@@ -48,20 +52,62 @@
 	}
 }
 
+// follow returns those of the events that follow the ones read before, and an error if others came
+// after them.
+func (e *exchange) follow(es []event.Event) ([]event.Event, error) {
+	for i, v := range es {
+		at, err := e.at.Next(v)
+		if err != nil {
+			return es[:i], err
+		}
+		e.at = at
+	}
+	return es, nil
+}
+
+// checkRest checks by its head whether a successful response to a request that resumes a stream can
+// be the rest of it.
+func (e *exchange) checkRest(a *http.Response) error {
+	if e.from.Last() == "" {
+		return nil
+	}
+	t := a.Header.Get("Content-Type")
+	if m, _, err := mime.ParseMediaType(t); a.StatusCode != http.StatusOK || t != "" && (err != nil || m != "text/event-stream") {
+		e.outcome = pool.Failed
+		return fmt.Errorf("%w: status %d, type %q", errNoStream, a.StatusCode, t)
+	}
+	return nil
+}
+
 // readFirst reads the first events of a stream. It returns an error if the stream ends without
 // any, unless it is complete.
 func (e *exchange) readFirst() error {
-	e.first, e.firstErr = e.read()
-	if len(e.first) > 0 {
-		return nil
+	for {
+		es, err := e.read()
+		switch {
+		case e.begun():
+			e.first, e.firstErr = es, err
+			return nil
+		case err != nil:
+			e.firstErr = err
+			return e.streamError(err)
+		}
 	}
-	return e.streamError(e.firstErr)
+}
+
+// begun reports whether the target has sent an event. If the caller has the beginning of the
+// response, comments don't count.
+func (e *exchange) begun() bool {
+	if e.continues {
+		return e.at.Last() != e.from.Last()
+	}
+	return e.received > 0
 }
 
 // logRest logs how a target's response to a request that resumes a stream begins. Err is why it
 // isn't used.
 func (e *exchange) logRest(err error) {
-	if e.lastEvent == "" {
+	if e.from.Last() == "" {
 		return
 	}
 	first := ""
@@ -69,7 +115,7 @@
 		first = e.first[0].ID
 	}
 	a := e.response
-	e.request.front.log("rest", "rest of a stream", "request-id", e.request.call.ID, "target", e.choice.ID, "version", e.choice.Version, "after", e.lastEvent,
+	e.request.front.log("rest", "rest of a stream", "request-id", e.request.call.ID, "target", e.choice.ID, "version", e.choice.Version, "after", e.from.Last(),
 		"first", first, "status", a.StatusCode, "type", a.Header.Get("Content-Type"), "framed", !unframed(a), "error", errorText(err))
 }
 
@@ -78,14 +124,21 @@
 func (e *exchange) streamError(err error) error {
 	e.broken = true
 	switch {
+	case errors.Is(err, event.ErrOrder), errors.Is(err, event.ErrMalformed):
+		e.broken = false
+		e.outcome = pool.Failed
+		return fmt.Errorf("read stream: %w", err)
 	case !errors.Is(err, io.EOF):
 		return fmt.Errorf("read stream: %w", err)
 	case e.events.Partial():
 		return errPartialEvent
-	case len(e.first) == 0 && e.lastEvent == "" && unframed(e.response):
+	case !e.begun() && unframed(e.response):
 		return errNoEvents
 	}
 	e.broken = false
+	if e.continues && !e.begun() {
+		return errNoEvents // it doesn't show that the stream had ended before
+	}
 	return nil
 }
 
@@ -114,7 +167,8 @@
 				e.prompt = 0
 				return result{sent: true, mayHaveRun: true, abort: "caller-left"}
 			}
-			e.takeover.forwarded(q.lastEvent())
+			q.stream.at = e.at
+			e.takeover.forwarded(e.at)
 		}
 		if err != nil {
 			break
@@ -143,7 +197,7 @@
 	if q.stream != nil {
 		return
 	}
-	q.stream = &stream{version: version}
+	q.stream = &stream{version: version, at: q.place()}
 	q.recordOrigin(version)
 	h := q.writer.Header()
 	for k, v := range responseHeaders(a.Header) {
@@ -164,9 +218,6 @@
 		if _, err := q.writer.Write(v.Raw); err != nil {
 			return fmt.Errorf("write event: %w", err)
 		}
-		if v.ID != "" {
-			q.stream.last = v.ID
-		}
 		q.stream.events++
 	}
 	if err := http.NewResponseController(q.writer).Flush(); err != nil {
@@ -175,13 +226,16 @@
 	return nil
 }
 
-// observeLength records the length of the caller's complete response for later estimates.
+// observeLength records the length of the caller's complete response and how its ids rise.
 func (q *request) observeLength() {
 	if q.call.LastEventID != "" {
 		return // only the rest of a response
 	}
-	n := q.stream.events
-	q.front.loop.Post(func(_ time.Duration, s *state) { s.length.Observe(q.route.Name, q.call.OutputHint, n) })
+	n, at := q.stream.events, q.stream.at
+	q.front.loop.Post(func(_ time.Duration, s *state) {
+		s.length.Observe(q.route.Name, q.call.OutputHint, n)
+		s.steps.Observe(q.route.Name, at)
+	})
 }
 
 // gapSampler reports the mean gap between the events of a stream to the pool, once for
--- a/io/front/takeover.go
+++ b/io/front/takeover.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"kingcupstand/core/event"
 	"kingcupstand/core/plan"
 	"kingcupstand/core/pool"
 	"kingcupstand/io/actor"
@@ -24,11 +25,11 @@
 // methods may be called concurrently.
 type takeover struct {
 	mu sync.Mutex
-	// received counts the reads that brought data, and lastEvent is the id of the last event that
+	// received counts the reads that brought data, and at is the place after the last event that
 	// was forwarded. busy is true between the two.
-	received  int
-	lastEvent string
-	busy      bool
+	received int
+	at       event.Sequence
+	busy     bool
 	// ended is true once the request is not moved any more, and moved once it has been.
 	ended, moved bool
 	// cancel ends the attempts to move the request; nil if there are none.
@@ -51,8 +52,8 @@
 
 // silence is the state of an exchange at the beginning of a silence.
 type silence struct {
-	received  int
-	lastEvent string
+	received int
+	at       event.Sequence
 }
 
 // start begins attempts to move the request, and returns a context that ends with the silence.
@@ -67,7 +68,7 @@
 	t.runs.Add(1)
 	t.stop()
 	ctx, t.cancel = context.WithCancel(ctx)
-	return ctx, silence{t.received, t.lastEvent}, true
+	return ctx, silence{t.received, t.at}, true
 }
 
 // stop ends the attempts to move the request. The lock must be held.
@@ -92,11 +93,11 @@
 	return true
 }
 
-// forwarded records the id of the last event that was forwarded.
-func (t *takeover) forwarded(lastEvent string) {
+// forwarded records the place after the last event that was forwarded.
+func (t *takeover) forwarded(at event.Sequence) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.busy, t.lastEvent = false, lastEvent
+	t.busy, t.at = false, at
 }
 
 // move reports whether the request is moved, which it is if the silence s has lasted until now
@@ -175,8 +176,8 @@
 	}
 	defer t.runs.Done()
 	q := e.request
-	// A stream whose events have no ids can only be begun anew.
-	movable := e.movable() && (s.received == 0 || s.lastEvent != "")
+	// A stream whose events have no ids that can be compared can only be begun anew.
+	movable := e.movable() && (!e.continues && s.received == 0 || s.at.Joinable())
 	e.reportSilence(movable)
 	for ; movable && ctx.Err() == nil; movable = e.movable() {
 		err := e.tryTakeover(ctx, s)
@@ -224,7 +225,7 @@
 	if err != nil {
 		return err
 	}
-	n := q.newExchange(e.parent, g.choice, s.lastEvent, e.sends+1)
+	n := q.newExchange(e.parent, g.choice, s.at, e.sends+1)
 	n.continues = e.continues || s.received > 0
 	n.criteria = e.criteria
 	n.criteria.Exclude = append(slices.Clone(e.criteria.Exclude), n.choice.ID)
--- a/io/front/takeover_test.go
+++ b/io/front/takeover_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"testing"
+
+	"kingcupstand/core/event"
 )
 
 // A silent target that goes on and breaks off afterwards doesn't hand the request to another
 // target that goes on after an earlier event, as the caller would get events twice.
 func TestTakeoverAfterProgress(t *testing.T) {
-	k := &takeover{lastEvent: "5"}
+	k := &takeover{at: event.After("5", 1)}
 	_, s, ok := k.start(context.Background())
 	if !ok {
 		t.Fatal("takeover not started")
@@ -17,7 +19,7 @@
 	if !k.progress() {
 		t.Fatal("the silent target may not go on")
 	}
-	k.forwarded("6")
+	k.forwarded(event.After("6", 1))
 	ended := make(chan struct{})
 	go func() {
 		k.end(true)
