--- a/io/front/request.go
+++ b/io/front/request.go
@@ -28,10 +28,11 @@
 	// stoppingRetry is the Retry-After of a front that shuts down; the caller's next
 	// connection reaches another front.
 	stoppingRetry = 50 * time.Millisecond
-	// streamCutoff is how long after the start of a shutdown new streams are accepted.
-	// Load balancers have noticed by then, and a long stream would not end within the
-	// grace period.
-	streamCutoff = 2500 * time.Millisecond
+	// streamCutoff is how long after the start of a shutdown new streams are accepted, at most and
+	// as a fraction of the time until requests in flight are aborted. Load balancers have noticed
+	// by then, and a long stream would not end within the grace period.
+	streamCutoff         = 2500 * time.Millisecond
+	streamCutoffFraction = 3
 	// minTimeLeft is the time until requests in flight are aborted below which a front that
 	// shuts down refuses new requests that are not streams.
 	minTimeLeft = 400 * time.Millisecond
@@ -282,7 +283,7 @@
 		return false
 	}
 	if q.route.Kind == plan.Stream {
-		return time.Since(*started) > streamCutoff
+		return time.Since(*started) > min(streamCutoff, at.Sub(*started)/streamCutoffFraction)
 	}
 	return time.Until(*at) < minTimeLeft
 }
