--- a/core/event/event.go
+++ b/core/event/event.go
@@ -15,7 +15,7 @@
 //	}
 //	if s.Partial() { ... } // the stream ended within an event
 //
-// A Sequence tells whether an event follows the ones before it. A stream that goes on with the
+// A Sequence reports whether an event follows the ones before it. A stream that goes on with the
 // response of another target is checked from where the first one broke off:
 //
 //	at = at.Join() // or event.After(lastEventID, step)
@@ -58,16 +58,21 @@
 // Splitter splits one stream. It holds the bytes of the event that is not yet complete.
 // It is not safe for concurrent use.
 type Splitter struct {
+	// size is the largest size of an event, in bytes.
+	size int
 	rest []byte
 	// line is where in rest the last line begins. The lines before it are not empty.
 	line int
 }
 
-// New returns a Splitter at the start of a stream.
-func New() *Splitter { return &Splitter{} }
+// New returns a Splitter at the start of a stream whose events have up to MaxSize bytes.
+func New() *Splitter { return NewSize(MaxSize) }
+
+// NewSize returns a Splitter at the start of a stream whose events have up to size bytes.
+func NewSize(size int) *Splitter { return &Splitter{size: size} }
 
 // Push adds the next bytes of the stream and returns the events that they complete. It
-// does not retain b. It fails with ErrTooLong if an event is longer than MaxSize, and returns
+// does not retain b. It fails with ErrTooLong if an event is too long, and returns
 // the events before it; the stream can't go on then.
 func (s *Splitter) Push(b []byte) ([]Event, error) {
 	s.rest = append(s.rest, b...)
@@ -75,7 +80,7 @@
 	for {
 		n := s.end()
 		switch {
-		case n > MaxSize, n < 0 && len(s.rest) > MaxSize:
+		case n > s.size, n < 0 && len(s.rest) > s.size:
 			return es, ErrTooLong
 		case n < 0:
 			return es, nil
@@ -109,27 +114,33 @@
 	}
 }
 
-// parse returns the event of a block of lines.
+// parse returns the event of a block of lines. Fields that this package doesn't know may come first, under
+// names in lower case.
 func parse(raw []byte) Event {
 	e := Event{Raw: raw, Kind: Comment}
+	unknown := false
 	for l := range strings.Lines(strings.TrimPrefix(string(raw), "\ufeff")) {
-		l = strings.TrimSuffix(strings.TrimSuffix(l, "\n"), "\r")
-		n, v, ok := strings.Cut(l, ":")
-		switch {
-		case l == "" || n == "":
-			continue // the end of the block, or a comment
-		case n == "retry":
-			continue
-		case n == "id":
+		n, v, ok := strings.Cut(strings.TrimRight(l, "\r\n"), ":")
+		switch n {
+		case "", "retry": // the end of the block, a comment or a reconnection time
+		case "id":
 			e.ID = strings.TrimPrefix(v, " ")
-		case n != "data" && n != "event" && (!ok || strings.Trim(n, nameLetters) != ""):
-			e.Kind = Malformed
-			return e
+			e.Kind = Message
+		case "data", "event":
+			e.Kind = Message
+		default:
+			if !ok || e.Kind == Message || strings.Trim(n, nameLetters) != "" {
+				e.Kind = Malformed
+				return e
+			}
+			unknown = true
 		}
-		e.Kind = Message
+	}
+	if unknown && e.Kind == Comment {
+		e.Kind = Malformed
 	}
 	return e
 }
 
-// nameLetters are the letters of the names of fields that this package doesn't know.
-const nameLetters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_"
+// nameLetters are the letters of the names of unknown fields.
+const nameLetters = "abcdefghijklmnopqrstuvwxyz0123456789-"
--- a/core/event/sequence.go
+++ b/core/event/sequence.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 )
 
@@ -24,22 +25,23 @@
 	// number is the value of last if numbered is true.
 	number   uint64
 	numbered bool
-	// step is the largest difference between the ids of two successive events. It is assumed if
-	// only one event is known.
-	step    uint64
-	assumed bool
+	// step is the largest difference between the ids of two successive events of other streams of
+	// the kind, and seen that of this stream; 0 if they are unknown.
+	step, seen uint64
+	// single is true if the last event is the first one of the stream.
+	single bool
 	// joined is true if the next event is from another response than the last one.
 	joined bool
 }
 
-// After returns the place after an event of another response. Step is the largest difference between
-// the ids of two successive events, or 0 if it is unknown; then they are taken for consecutive. An
-// empty id is the start of a stream.
+// Start returns the start of a stream. Step is the largest difference between the ids of two
+// successive events of a response, or 0 if it is unknown.
+func Start(step uint64) Sequence { return Sequence{step: step} }
+
+// After returns the place after an event of another response. An empty id is the start of a stream.
 func After(id string, step uint64) Sequence {
-	if id == "" {
-		return Sequence{}
-	}
-	s := Sequence{last: id, step: max(1, step), joined: true}
+	s := Start(step)
+	s.last, s.joined = id, id != ""
 	s.number, s.numbered = number(id)
 	return s
 }
@@ -56,13 +58,20 @@
 // Joinable reports whether it can be checked that another response goes on at this place.
 func (s Sequence) Joinable() bool { return s.numbered }
 
-// Step returns the largest difference between the ids of two successive events of a response, or 0
-// if it is unknown.
-func (s Sequence) Step() uint64 {
-	if s.assumed {
-		return 0
+// Step returns the largest difference between the ids of two successive events of one response of
+// this stream, or 0 if it is unknown.
+func (s Sequence) Step() uint64 { return s.seen }
+
+// limit returns the largest difference to the first id of another response. If nothing is known, ids
+// are taken for consecutive, or for multiples of the first one.
+func (s Sequence) limit() uint64 {
+	switch n := max(s.step, s.seen); {
+	case n > 0:
+		return n
+	case s.single:
+		return max(1, s.number)
 	}
-	return s.step
+	return 1
 }
 
 // Next returns the place after an event. It fails with an error that wraps ErrMalformed or ErrOrder
@@ -77,23 +86,16 @@
 		return s, fmt.Errorf("%w: no id after %q", ErrOrder, s.last)
 	}
 	n, ok := number(e.ID)
-	o := Sequence{last: e.ID, number: n, numbered: ok}
+	o := Sequence{last: e.ID, number: n, numbered: ok, step: s.step, seen: s.seen, single: s.last == ""}
 	switch {
-	case s.last == "":
-		// Numbers count from 0 in most streams.
-		o.step, o.assumed = max(1, n), true
+	case o.single:
 		return o, nil
 	case s.numbered && (!ok || n <= s.number), s.last == e.ID:
 		return s, fmt.Errorf("%w: %q after %q", ErrOrder, e.ID, s.last)
-	case s.numbered && s.joined && n-s.number > s.step:
+	case s.numbered && s.joined && n-s.number > s.limit():
 		return s, fmt.Errorf("%w: %q after %q of another response", ErrOrder, e.ID, s.last)
-	}
-	o.step, o.assumed = s.step, s.assumed
-	if s.numbered && !s.joined {
-		if o.assumed {
-			o.step, o.assumed = 0, false
-		}
-		o.step = max(o.step, n-s.number)
+	case s.numbered && !s.joined:
+		o.seen = max(o.seen, n-s.number)
 	}
 	return o, nil
 }
@@ -104,21 +106,32 @@
 	return n, err == nil
 }
 
+// stepsKept is the number of streams of a kind from which its step is taken. A stream with a gap counts
+// only until as many others have ended.
+const stepsKept = 8
+
 // Steps holds the largest difference between the ids of two successive events for each kind of
-// stream. It is not safe for concurrent use.
+// stream, as of its last streams. It is not safe for concurrent use.
 type Steps struct {
-	steps map[string]uint64
+	steps map[string][]uint64
 }
 
 // NewSteps returns Steps that know no stream.
-func NewSteps() *Steps { return &Steps{steps: map[string]uint64{}} }
+func NewSteps() *Steps { return &Steps{steps: map[string][]uint64{}} }
 
-// Observe records the place at which a stream has ended.
-func (s *Steps) Observe(kind string, at Sequence) {
-	if n := at.Step(); n > s.steps[kind] {
-		s.steps[kind] = n
+// Observe records the largest difference in a stream that has ended; 0 if it is unknown.
+func (s *Steps) Observe(kind string, step uint64) {
+	if step == 0 {
+		return
 	}
+	l := append(s.steps[kind], step)
+	s.steps[kind] = l[max(0, len(l)-stepsKept):]
 }
 
 // Step returns the largest difference, or 0 if it is unknown.
-func (s *Steps) Step(kind string) uint64 { return s.steps[kind] }
+func (s *Steps) Step(kind string) uint64 {
+	if l := s.steps[kind]; len(l) > 0 {
+		return slices.Max(l)
+	}
+	return 0
+}
--- a/core/event/sequence_test.go
+++ b/core/event/sequence_test.go
@@ -17,6 +17,7 @@
 	for text, want := range map[string]event.Kind{
 		"id: 1\ndata: a\n\n":                   event.Message,
 		"data\n\n":                             event.Message,
+		"id\n\n":                               event.Message,
 		"event: end\r\ndata: a\r\n\r\n":        event.Message,
 		"weight-versions: 3\nid: 1\ndata:\n\n": event.Message,
 		"\ufeffid: 1\ndata: a\n\n":             event.Message,
@@ -27,7 +28,10 @@
 		"{\"error\": 1}\n\n":                       event.Malformed,
 		"internal error\n\n":                       event.Malformed,
 		"failed\n\n":                               event.Malformed,
-		"data: a\nbad gateway: x\n\n":              event.Malformed,
+		"error: failed\n\n":                        event.Malformed,
+		"id: 4\ndata: part 4\nContent-Type: text/plain\r\n\r\n":                     event.Malformed,
+		"id: 4\ndata: parHTTP/1.1 500 Internal\r\nContent-Type: text/plain\r\n\r\n": event.Malformed,
+		"data: a\nbad gateway: x\n\n":                                               event.Malformed,
 	} {
 		if es := push(t, event.New(), []byte(text)); len(es) != 1 || es[0].Kind != want {
 			t.Errorf("%q: got %+v, want kind %d", text, es, want)
@@ -78,6 +82,9 @@
 		{event.Sequence{}, "a b b", false},
 		{event.Sequence{}, "1 2 -", false},
 		{event.Sequence{}, "- -", true},
+		{event.Start(3), "100 | 103", true},
+		{event.Start(3), "100 | 104", false},
+		{event.Start(5), "0 | 5", true},
 		{event.After("12", 0), "13 14", true},
 		{event.After("12", 0), "12", false},
 		{event.After("12", 0), "1", false},
@@ -125,7 +132,8 @@
 	})
 }
 
-// The step of a kind of stream is the largest one seen; a single event doesn't show it.
+// The step of a kind of stream is the largest one of its last streams; a single event doesn't show it.
+// Guards against a stream with a gap after which events may be missing in all others.
 func TestSteps(t *testing.T) {
 	s := event.NewSteps()
 	for _, ids := range []string{"5", "1 2", "3 6", "1 2 3"} {
@@ -133,9 +141,19 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s.Observe("a", at)
+		s.Observe("a", at.Step())
 	}
 	if a, b := s.Step("a"), s.Step("b"); a != 3 || b != 0 {
 		t.Errorf("got steps %d and %d, want 3 and 0", a, b)
 	}
+	for range 8 {
+		at, err := follow(event.Start(s.Step("a")), "1", "2")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Observe("a", at.Step())
+	}
+	if a := s.Step("a"); a != 1 {
+		t.Errorf("got step %d after eight streams in steps of 1, want 1", a)
+	}
 }
--- a/io/front/refuse.go
+++ b/io/front/refuse.go
@@ -24,7 +24,11 @@
 	}
 	if q.fallback != nil {
 		q.fallback.write(q)
-		q.finish(q.fallback.status, "target-failed")
+		reason := "target-failed"
+		if q.fallback.status < http.StatusMultipleChoices {
+			q.whole, reason = true, "answered" // the rest of a stream that no other target has more of
+		}
+		q.finish(q.fallback.status, reason)
 		return
 	}
 	if cause := context.Cause(ctx); cause != nil {
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -100,7 +100,7 @@
 	mayHaveRun bool
 	// version is the version of the target that may have run the request last; "" if none has.
 	version string
-	// fallback is a server error from a target, which is forwarded if no other target
+	// fallback is a target's server error, or its answer without events, which is forwarded if no other target
 	// answers the request.
 	fallback *response
 	// origin is what began the stream that the caller resumes; nil for a new stream.
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -48,7 +48,6 @@
 	errPartialEvent = errors.New("stream ended in the middle of an event")
 	errNoEvents     = errors.New("stream ended before its first event")
 	errDeclined     = errors.New("target declined to go on with the response")
-	errNoStream     = errors.New("response is no stream of events")
 	errSilenceEnded = errors.New("silent target has gone on")
 	errBodyTooLong  = errors.New("response body is too long")
 )
@@ -99,8 +98,11 @@
 	if v.mayHaveRun {
 		q.mayHaveRun, q.version = true, e.choice.Version
 	}
-	if e.fallback != nil {
+	switch {
+	case e.fallback != nil:
 		q.fallback = e.fallback
+	case v.mayHaveRun && q.fallback != nil && q.fallback.status < http.StatusMultipleChoices:
+		q.fallback = nil // this target may have had the rest of the stream
 	}
 }
 
@@ -109,8 +111,11 @@
 	request *request
 	choice  pool.Choice
 	// from is the place in the stream at which the response is to begin, and at the place after the
-	// last event that was read.
+	// last event that was read. begun is true once there was one that is no comment, and firstID is
+	// the id of the first event, whether it follows or not.
 	from, at event.Sequence
+	begun    bool
+	firstID  string
 	// sends is the number of earlier dispatches of the request. attemptsLeft and dispatchesLeft
 	// are how many more targets may get it, and may be tried.
 	sends                        int
@@ -147,7 +152,7 @@
 	buffer   []byte
 	first    []event.Event
 	firstErr error
-	// fallback is a server error of the target.
+	// fallback is a server error of the target, or that it has no more events of a stream.
 	fallback *response
 	// prompt is the number of prompt tokens that the target has yet to process; 0 after the
 	// first byte.
@@ -333,10 +338,7 @@
 		return result{sent: true, mayHaveRun: true, err: errNoReceipt}
 	}
 	if success && e.request.route.Kind == plan.Stream {
-		err := e.checkRest(a)
-		if err == nil {
-			err = e.readFirst()
-		}
+		err := e.readFirst()
 		e.logRest(err)
 		return result{sent: true, mayHaveRun: true, err: err}
 	}
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"mime"
 	"net/http"
 	"time"
 
@@ -56,67 +55,52 @@
 // after them.
 func (e *exchange) follow(es []event.Event) ([]event.Event, error) {
 	for i, v := range es {
+		if e.firstID == "" {
+			e.firstID = v.ID
+		}
 		at, err := e.at.Next(v)
 		if err != nil {
 			return es[:i], err
 		}
 		e.at = at
+		e.begun = e.begun || v.Kind == event.Message
 	}
 	return es, nil
 }
 
-// checkRest checks by its head whether a successful response to a request that resumes a stream can
-// be the rest of it.
-func (e *exchange) checkRest(a *http.Response) error {
-	if e.from.Last() == "" {
-		return nil
-	}
-	t := a.Header.Get("Content-Type")
-	if m, _, err := mime.ParseMediaType(t); a.StatusCode != http.StatusOK || t != "" && (err != nil || m != "text/event-stream") {
-		e.outcome = pool.Failed
-		return fmt.Errorf("%w: status %d, type %q", errNoStream, a.StatusCode, t)
-	}
-	return nil
-}
-
-// readFirst reads the first events of a stream. It returns an error if the stream ends without
-// any, unless it is complete.
+// readFirst reads the response up to its first events. Comments before them are forwarded with them,
+// unless the caller has the beginning of the response from another target. It returns an error if the
+// stream ends without any, unless it is complete.
 func (e *exchange) readFirst() error {
-	for {
+	for size := 0; ; {
 		es, err := e.read()
+		for _, v := range es {
+			size += len(v.Raw)
+		}
+		if !e.continues || e.begun {
+			e.first = append(e.first, es...)
+		}
+		e.firstErr = err
 		switch {
-		case e.begun():
-			e.first, e.firstErr = es, err
+		case e.begun:
 			return nil
 		case err != nil:
-			e.firstErr = err
 			return e.streamError(err)
+		case size > event.MaxSize:
+			return event.ErrTooLong
 		}
 	}
 }
 
-// begun reports whether the target has sent an event. If the caller has the beginning of the
-// response, comments don't count.
-func (e *exchange) begun() bool {
-	if e.continues {
-		return e.at.Last() != e.from.Last()
-	}
-	return e.received > 0
-}
-
 // logRest logs how a target's response to a request that resumes a stream begins. Err is why it
 // isn't used.
 func (e *exchange) logRest(err error) {
 	if e.from.Last() == "" {
 		return
 	}
-	first := ""
-	if len(e.first) > 0 {
-		first = e.first[0].ID
-	}
 	a := e.response
 	e.request.front.log("rest", "rest of a stream", "request-id", e.request.call.ID, "target", e.choice.ID, "version", e.choice.Version, "after", e.from.Last(),
-		"first", first, "status", a.StatusCode, "type", a.Header.Get("Content-Type"), "framed", !unframed(a), "error", errorText(err))
+		"first", e.firstID, "status", a.StatusCode, "type", a.Header.Get("Content-Type"), "framed", !unframed(a), "error", errorText(err))
 }
 
 // streamError returns the error of a stream whose last read returned err, or nil if it is
@@ -132,16 +116,31 @@
 		return fmt.Errorf("read stream: %w", err)
 	case e.events.Partial():
 		return errPartialEvent
-	case !e.begun() && unframed(e.response):
+	case !e.begun && unframed(e.response):
 		return errNoEvents
 	}
 	e.broken = false
-	if e.continues && !e.begun() {
-		return errNoEvents // it doesn't show that the stream had ended before
+	if !e.begun && (e.continues || e.second || e.from.Last() != "") {
+		// Another target may have the rest. If none does, a caller that resumes its stream decides
+		// whether this is its end.
+		e.outcome = pool.Neutral
+		if !e.continues && !e.second {
+			e.fallback = e.emptyRest()
+		}
+		return errNoEvents
 	}
 	return nil
 }
 
+// emptyRest returns a whole response without events.
+func (e *exchange) emptyRest() *response {
+	r := &response{status: e.response.StatusCode, header: responseHeaders(e.response.Header), whole: true}
+	for _, v := range e.first {
+		r.body = append(r.body, v.Raw)
+	}
+	return r
+}
+
 // forwardStream forwards the events of a target's response until it ends. Only complete
 // events are forwarded, so that another target can continue after the last one.
 func (e *exchange) forwardStream() result {
@@ -231,10 +230,10 @@
 	if q.call.LastEventID != "" {
 		return // only the rest of a response
 	}
-	n, at := q.stream.events, q.stream.at
+	n, step := q.stream.events, q.stream.at.Step()
 	q.front.loop.Post(func(_ time.Duration, s *state) {
 		s.length.Observe(q.route.Name, q.call.OutputHint, n)
-		s.steps.Observe(q.route.Name, at)
+		s.steps.Observe(q.route.Name, step)
 	})
 }
 
--- a/io/front/takeover.go
+++ b/io/front/takeover.go
@@ -177,7 +177,7 @@
 	defer t.runs.Done()
 	q := e.request
 	// A stream whose events have no ids that can be compared can only be begun anew.
-	movable := e.movable() && (!e.continues && s.received == 0 || s.at.Joinable())
+	movable := e.movable() && (s.received == 0 || s.at.Joinable())
 	e.reportSilence(movable)
 	for ; movable && ctx.Err() == nil; movable = e.movable() {
 		err := e.tryTakeover(ctx, s)
