--- a/io/front/crash.go
+++ b/io/front/crash.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"slices"
 	"syscall"
 	"time"
 
 	"kingcupstand/core/poison"
 	"kingcupstand/core/pool"
+	"kingcupstand/io/actor"
 	"kingcupstand/io/dial"
 )
 
@@ -56,6 +58,19 @@
 	}
 }
 
+// cutOff reports whether a response whose end is the end of the connection was cut off by the end of
+// its target's process: the target isn't leaving, and its host refuses connections.
+func (e *exchange) cutOff(a *http.Response) bool {
+	if !unframed(a) {
+		return false
+	}
+	q, c := e.request, e.choice
+	stays := actor.Ask(q.front.loop, func(_ time.Duration, s *state) bool {
+		return slices.ContainsFunc(s.pool.Targets(q.service), func(t pool.Target) bool { return t.ID == c.ID && !t.Leaving })
+	})
+	return stays && errors.Is(q.front.dialer.Check(e.ctx, c.Address, 0), syscall.ECONNREFUSED)
+}
+
 // runCrashCheck tries to connect to a target. It has crashed if its host refuses connections, or
 // if what forwards them closes each at once: a target that can't be reached, or goes on, has
 // another fault.
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -156,7 +156,7 @@
 // causes maps the errors of dispatches to metric labels.
 var causes = map[error]string{
 	errNotRun: "not-run", errStalled: "silent", errServerError: "target-failed", errWrongRequest: "foreign-answer",
-	errNoReceipt: "no-receipt", errPartialEvent: "partial-event", errNoEvents: "no-events", errDeclined: "declined", errSilenceEnded: "silence-ended",
+	errNoReceipt: "no-receipt", errPartialEvent: "partial-event", errNoEvents: "no-events", errCutOff: "cut-off", errDeclined: "declined", errSilenceEnded: "silence-ended",
 	event.ErrOrder: "out-of-order", event.ErrMalformed: "malformed-event", errWithheld: "withheld", errTimeout: "timeout", errStopped: "stopping",
 }
 
--- a/io/front/plain.go
+++ b/io/front/plain.go
@@ -27,6 +27,10 @@
 		e.broken = true
 		return fmt.Errorf("read response body: %w", err)
 	}
+	if n <= maxBuffered && e.cutOff(a) {
+		e.broken = true
+		return errCutOff
+	}
 	e.plain = &response{status: a.StatusCode, header: responseHeaders(a.Header), body: b, whole: n <= maxBuffered, length: a.ContentLength}
 	switch {
 	case !e.plain.whole && success:
@@ -106,10 +110,15 @@
 // copyRest forwards the part of the response that was not read into the buffer.
 func (e *exchange) copyRest() error {
 	n, err := io.Copy(e.request.writer, io.LimitReader(e.response.Body, maxBody-maxBuffered))
-	if err == nil && n == maxBody-maxBuffered {
-		err = errBodyTooLong
+	switch {
+	case err != nil:
+		return err
+	case n == maxBody-maxBuffered:
+		return errBodyTooLong
+	case e.cutOff(e.response):
+		return errCutOff
 	}
-	return err
+	return nil
 }
 
 // response is a target's response that is not streamed.
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -47,6 +47,7 @@
 	errServerError  = errors.New("target returned a server error")
 	errPartialEvent = errors.New("stream ended in the middle of an event")
 	errNoEvents     = errors.New("stream ended before its first event")
+	errCutOff       = errors.New("target ended with the connection that its response was to end with")
 	errDeclined     = errors.New("target declined to go on with the response")
 	errSilenceEnded = errors.New("silent target has gone on")
 	errBodyTooLong  = errors.New("response body is too long")
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -118,6 +118,8 @@
 		return errPartialEvent
 	case !e.begun && unframed(e.response):
 		return errNoEvents
+	case e.cutOff(e.response):
+		return errCutOff
 	}
 	e.broken = false
 	if !e.begun && (e.continues || e.second || e.from.Last() != "") {
