--- a/core/share/share.go
+++ b/core/share/share.go
@@ -40,6 +40,10 @@
 // front without demand owns a few slots for its next requests.
 const minWeight = 0.25
 
+// maxHashed is the largest number of slots of one target that are hashed one by one. Beyond it,
+// slots are assigned in maxHashed groups, so that the cost doesn't grow with their number.
+const maxHashed = 128
+
 // candidate is a front with what its scores are computed from.
 type candidate struct {
 	name   string
@@ -62,9 +66,9 @@
 	m := make(map[string]int, len(ts))
 	for _, t := range ts {
 		h := xxhash.Sum64String(t.ID)
-		for n := range t.Slots {
+		for n := range min(t.Slots, maxHashed) {
 			if owner(cs, h+uint64(n)*0x9e3779b97f4a7c15) == self {
-				m[t.ID]++
+				m[t.ID] += (t.Slots-n-1)/maxHashed + 1
 			}
 		}
 	}
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -107,3 +108,24 @@
 		t.Errorf("got %v, want both names", got)
 	}
 }
+
+// Guards against a control loop that is busy for minutes with a target that names a huge number of
+// slots: each slot still has one owner.
+func TestCostDoesNotGrowWithSlots(t *testing.T) {
+	fs := fronts(40, 20, 20, 10, 10)
+	for _, slots := range []int{0, 1, 12, 127, 128, 129, 1000, 1 << 16, math.MaxUint32} {
+		got := map[string]int{}
+		start := time.Now()
+		for _, f := range fs {
+			for id, n := range share.Assigned(f.Name, fs, targets(3, slots)) {
+				got[id] += n
+			}
+		}
+		if d := time.Since(start); d > time.Second {
+			t.Errorf("%d slots: assigned in %v", slots, d)
+		}
+		if n := sum(got); n != 3*slots {
+			t.Errorf("%d slots: got %d assigned slots, want %d", slots, n, 3*slots)
+		}
+	}
+}
