--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -149,17 +149,23 @@
 // Len returns the number of records.
 func (t *Table) Len() int { return len(t.records) }
 
+// maxReported is the largest number of streams that one heartbeat reports: with them it fits into a
+// datagram.
+const maxReported = 2000
+
 // Unreported returns the streams that the next heartbeat is to report, and counts it.
 func (t *Table) Unreported() []Stream {
 	var ss []Stream
+	n := min(len(t.unreported), maxReported)
+	rest := t.unreported[n:]
 	left := t.unreported[:0]
-	for _, u := range t.unreported {
+	for _, u := range t.unreported[:n] {
 		ss = append(ss, u.Stream)
 		if u.left--; u.left > 0 {
 			left = append(left, u)
 		}
 	}
-	t.unreported = left
+	t.unreported = append(left, rest...)
 	return ss
 }
 
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -58,6 +58,34 @@
 	}
 }
 
+// Guards against heartbeats that no datagram can carry: of many streams each is reported as often as a
+// single one, but in several heartbeats.
+func TestUnreportedIsBounded(t *testing.T) {
+	const streams, most = 20000, 2000
+	b := origin.New()
+	for id := range uint64(streams) {
+		b.Add(0, id+1, chat)
+	}
+	reported := map[uint64]int{}
+	for {
+		ss := b.Unreported()
+		if len(ss) == 0 {
+			break
+		}
+		if len(ss) > most {
+			t.Fatalf("a heartbeat reports %d streams, want at most %d", len(ss), most)
+		}
+		for _, v := range ss {
+			reported[v.ID]++
+		}
+	}
+	for id := range uint64(streams) {
+		if n := reported[id+1]; n != 2 {
+			t.Fatalf("stream %d: reported %d times, want 2", id+1, n)
+		}
+	}
+}
+
 // The only version is certain once the list has been known, without another version, since the
 // stream can have begun, or for as long as records are kept, and for ListLag before that: other
 // fronts may have used targets that were no longer listed.
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -248,6 +248,18 @@
 
 func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
 
+// maxAmount is the largest rate, burst or weight that is used. Larger ones are reduced to it: sums
+// and products of them must be finite, and fit into heartbeats.
+const maxAmount = 1e12
+
+// amount returns a rate, burst or weight as a number from 0 to maxAmount.
+func amount(v float64) float64 {
+	if !(v > 0) { // also if it is no number
+		return 0
+	}
+	return min(v, maxAmount)
+}
+
 func (p *Plan) addServices(ss []*spec.PlanService) {
 	for _, s := range ss {
 		p.services[s.Name] = &Service{
@@ -256,7 +268,7 @@
 			Engine:       s.Engine != nil,
 			MemoryTokens: int(s.GetEngine().GetMemoryTokens()),
 			WarmUp:       milliseconds(s.WarmUpMs),
-			WarmUpRate:   max(0, s.WarmUpRate),
+			WarmUpRate:   amount(s.WarmUpRate),
 		}
 	}
 }
@@ -299,15 +311,15 @@
 	}
 	sum := 0.0
 	for _, s := range d.Split {
-		sum += max(0, s.Weight)
+		sum += amount(s.Weight)
 	}
 	if sum <= 0 {
 		return nil, fmt.Errorf("%w: no service has a weight above 0", ErrInvalid)
 	}
 	total := 0.0
 	for _, s := range d.Split {
-		if s.Weight > 0 {
-			total += s.Weight / sum
+		if w := amount(s.Weight); w > 0 {
+			total += w / sum
 			r.splits = append(r.splits, split{service: s.Service, until: total})
 		}
 	}
@@ -322,8 +334,8 @@
 			HasRank:       d.Rank != nil,
 			CountsTokens:  d.Tokens,
 			DefaultTokens: int(d.DefaultTokens),
-			Rate:          d.Rate,
-			Burst:         d.Burst,
+			Rate:          amount(d.Rate),
+			Burst:         amount(d.Burst),
 		}
 		p.workspaces = append(p.workspaces, w)
 		for _, k := range d.KeyHashes {
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"errors"
+	"math"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -91,6 +92,32 @@
 	}
 }
 
+// Guards against sums that are no number, and against a route without any service: weights, rates and
+// bursts of any size are those of a valid plan.
+func TestOddAmounts(t *testing.T) {
+	for _, v := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), math.MaxFloat64, -math.MaxFloat64, math.SmallestNonzeroFloat64} {
+		d := proto.CloneOf(document())
+		d.Routes[1].Split[0].Weight = v
+		d.Workspaces[0].Rate, d.Workspaces[0].Burst = v, v
+		d.Services = []*spec.PlanService{{Name: "new", WarmUpRate: v}}
+		p, err := plan.New(d)
+		if err != nil {
+			t.Errorf("%v: %v", v, err)
+			continue
+		}
+		r, _ := p.Route("a.example", "/x/y/")
+		if n := r.Service(0.999999); n != "new" && v < 1 {
+			t.Errorf("weight %v: got service %q", v, n)
+		}
+		w := p.Workspaces()[0]
+		for _, a := range []float64{w.Rate, w.Burst, p.Service("new").WarmUpRate} {
+			if math.IsNaN(a) || a < 0 || a > 1e12 {
+				t.Errorf("%v: got amount %v", v, a)
+			}
+		}
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	p, err := plan.New(document())
 	if err != nil {
--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -14,6 +14,7 @@
 	"kingcupstand/core/quota"
 	"kingcupstand/core/sched"
 	"kingcupstand/io/actor"
+	"kingcupstand/io/gossip"
 	"kingcupstand/schema/spec"
 	"kingcupstand/schema/wire"
 )
@@ -230,7 +231,8 @@
 	}
 	for _, u := range s.pool.Uses(now) {
 		m.Uses = append(m.Uses, &wire.TargetUse{
-			Target: u.Target, Running: uint32(u.Running), PromptTokens: uint32(u.PromptTokens), Failing: u.Failing, Recent: uint32(u.Recent),
+			Target: u.Target, Running: uint32(min(u.Running, gossip.MaxCount)), PromptTokens: uint32(min(u.PromptTokens, gossip.MaxTokens)),
+			Failing: u.Failing, Recent: uint32(min(u.Recent, gossip.MaxCount)),
 		})
 	}
 	for _, r := range s.pool.LimitReports(now) {
@@ -248,7 +250,7 @@
 	}
 	for k, n := range d.Waiting {
 		m.Waits = append(m.Waits, &wire.RankWait{
-			Service: k.Service, Rank: uint32(k.Priority.TierRank), RouteRank: uint32(k.Priority.RouteRank), Late: k.Priority.Late, Count: uint32(n),
+			Service: k.Service, Rank: uint32(k.Priority.TierRank), RouteRank: uint32(k.Priority.RouteRank), Late: k.Priority.Late, Count: uint32(min(n, gossip.MaxCount)),
 			OverShare: k.Priority.OverShare,
 		})
 	}
--- a/io/gossip/parse.go
+++ b/io/gossip/parse.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -14,11 +15,16 @@
 // errInvalid is wrapped by errors about heartbeats that are not usable.
 var errInvalid = errors.New("invalid heartbeat")
 
-// maxCount is the largest count in a heartbeat; no front has as many requests.
-const maxCount = 1 << 24
-
-// maxName is the length in bytes of the longest name in a heartbeat. Names are kept.
-const maxName = 200
+// Bounds of what a heartbeat may contain. A front sends nothing beyond them, as its peers would
+// drop the whole heartbeat.
+const (
+	// MaxCount is the largest count; no front has as many requests.
+	MaxCount = 1 << 24
+	// MaxTokens is the largest number of prompt tokens at a target.
+	MaxTokens = math.MaxInt32
+	// MaxName is the length in bytes of the longest name. Names are kept.
+	MaxName = 200
+)
 
 // Parse decodes and checks a heartbeat. Numbers that are not finite or far too large are
 // refused: they would corrupt the assignment of slots, and the levels of allowances would
@@ -29,15 +35,20 @@
 		return nil, fmt.Errorf("%w: %w", errInvalid, err)
 	}
 	if _, err := netip.ParseAddrPort(m.Peer); err != nil {
-		return nil, fmt.Errorf("%w: peer %q", errInvalid, m.Peer)
+		return nil, fmt.Errorf("%w: peer %.40q", errInvalid, m.Peer)
 	}
+	// Another front may have accepted a name from a peer that sent it anything.
+	m.Peers = slices.DeleteFunc(m.Peers, func(a string) bool {
+		_, err := netip.ParseAddrPort(a)
+		return err != nil
+	})
 	for _, u := range m.Uses {
-		if u.Running > maxCount || u.PromptTokens > math.MaxInt32 {
+		if u.Running > MaxCount || u.PromptTokens > MaxTokens {
 			return nil, fmt.Errorf("%w: %d requests and %d prompt tokens at a target", errInvalid, u.Running, u.PromptTokens)
 		}
 	}
 	for _, w := range m.Waits {
-		if w.Count > maxCount {
+		if w.Count > MaxCount {
 			return nil, fmt.Errorf("%w: %d queued requests", errInvalid, w.Count)
 		}
 	}
@@ -52,7 +63,7 @@
 		}
 	}
 	for _, o := range m.Streams {
-		if o.Version == "" || len(o.Version) > maxName || o.Service == "" || len(o.Service) > maxName {
+		if o.Version == "" || len(o.Version) > MaxName || o.Service == "" || len(o.Service) > MaxName {
 			return nil, fmt.Errorf("%w: streams of service %.40q, version %.40q", errInvalid, o.Service, o.Version)
 		}
 	}
--- a/io/gossip/parse_test.go
+++ b/io/gossip/parse_test.go
@@ -1,6 +1,7 @@
 package gossip_test
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"strings"
@@ -85,3 +86,25 @@
 		}
 	}
 }
+
+// Guards against addresses that aren't any, which a front would keep, send to and pass on.
+func TestParseDropsInvalidPeers(t *testing.T) {
+	const peer = "192.0.2.1:7600"
+	b, err := proto.Marshal(&wire.Beat{Peer: peer, Peers: []string{"", "192.0.2.2:7600", "front", "192.0.2.3:99999", strings.Repeat("x", 5000)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := gossip.Parse(b)
+	if err != nil || len(m.Peers) != 1 || m.Peers[0] != "192.0.2.2:7600" {
+		t.Errorf("got peers %.100q, error %v", m.GetPeers(), err)
+	}
+	for _, n := range []string{strings.Repeat("x", 60000), strings.Repeat("\x00", 60000)} {
+		b, err := proto.Marshal(&wire.Beat{Peer: n})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := gossip.Parse(b); err == nil || len(err.Error()) > 1000 {
+			t.Errorf("peer of %d bytes: got an error of %d bytes", len(n), len(fmt.Sprint(err)))
+		}
+	}
+}
