--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -64,6 +64,8 @@
 	probes = 3
 	// defaultKeepAlive is the keep-alive timeout of targets that announce none.
 	defaultKeepAlive = 4 * time.Second
+	// maxKeepAlive is the longest keep-alive timeout that is used. Longer ones are reduced to it.
+	maxKeepAlive = time.Hour
 	// lenientFraction is the fraction of the target's keep-alive timeout for which an
 	// idle connection is reused. The rest keeps a request from crossing the target's
 	// close.
@@ -293,8 +295,9 @@
 func keepAliveTimeout(v string) (time.Duration, bool) {
 	for f := range strings.SplitSeq(v, ",") {
 		if n, ok := strings.CutPrefix(strings.TrimSpace(f), "timeout="); ok {
-			if s, err := strconv.Atoi(n); err == nil {
-				return time.Duration(s) * time.Second, true
+			// At an overflow ParseUint returns the largest number.
+			if s, err := strconv.ParseUint(n, 10, 32); err == nil || errors.Is(err, strconv.ErrRange) {
+				return min(time.Duration(s)*time.Second, maxKeepAlive), true
 			}
 		}
 	}
--- a/io/dial/dial_test.go
+++ b/io/dial/dial_test.go
@@ -165,3 +165,21 @@
 		t.Errorf("target that refuses connections: got %v, want ECONNREFUSED", err)
 	}
 }
+
+// Guards against a target whose connections are never or always reused because the keep-alive timeout
+// that it names overflows or is no number.
+func TestOddKeepAliveTimeouts(t *testing.T) {
+	for v, want := range map[string]bool{
+		"9": true, "99999999999": true, "99999999999999999999999": true, "9223372036854775807": true, "0": false,
+		"-1": true, "1e9": true, "": true, // as if none were named
+	} {
+		a, accepted := startTarget(t, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout="+v+"\r\nContent-Length: 0\r\n\r\n")
+		d := dial.New(logr.Discard())
+		exchange(t, d, a, dial.Lenient)
+		c := exchange(t, d, a, dial.Lenient)
+		c.Close()
+		if reused := accepted() == 1; reused != want {
+			t.Errorf("timeout=%s: reused %v, want %v", v, reused, want)
+		}
+	}
+}
