--- a/core/conf/parse.go
+++ b/core/conf/parse.go
@@ -36,15 +36,22 @@
 // once.
 type problems []Problem
 
+// maxProblems is the largest number of problems that are collected, which bounds the time that add
+// takes.
+const maxProblems = 100
+
 // add adds a problem, unless one was added for the same path or a path below it: the
 // second one is usually a consequence of the first.
 func (p *problems) add(path, format string, args ...any) {
+	if len(*p) >= maxProblems {
+		return
+	}
 	for _, q := range *p {
 		if path != "" && (path == q.Path || strings.HasPrefix(q.Path, path+"[") || strings.HasPrefix(q.Path, path+".")) {
 			return
 		}
 	}
-	*p = append(*p, Problem{Path: path, Expected: fmt.Sprintf(format, args...)})
+	*p = append(*p, Problem{Path: shorten(path), Expected: shorten(fmt.Sprintf(format, args...))})
 }
 
 // decode decodes YAML text into m. It reports all unknown keys and all values of a
@@ -53,26 +60,35 @@
 // If readable is false, the text isn't YAML or couldn't be decoded, and m is empty or
 // incomplete.
 func decode(text []byte, m proto.Message) (ps problems, readable bool) {
-	b, err := yaml.YAMLToJSONStrict(text)
+	v, err := read(text)
 	if err != nil {
 		ps.add("", "not YAML: %s", oneLine(err))
 		return ps, false
 	}
+	return ps, ps.unmarshal("", v, m)
+}
+
+// read reads YAML text as the types of encoding/json, with numbers as text.
+func read(text []byte) (v any, err error) {
+	b, err := yaml.YAMLToJSONStrict(text)
+	if err != nil {
+		return nil, err
+	}
 	d := json.NewDecoder(bytes.NewReader(b))
 	d.UseNumber()
-	var v any
-	if err := d.Decode(&v); err != nil {
-		ps.add("", "not YAML: %s", oneLine(err))
-		return ps, false
-	}
-	b, err = json.Marshal(ps.message("", v, m.ProtoReflect().Descriptor()))
+	return v, d.Decode(&v)
+}
+
+// unmarshal decodes a value that was read at a path into m, and reports whether that was possible.
+func (p *problems) unmarshal(path string, v any, m proto.Message) bool {
+	b, err := json.Marshal(p.message(path, v, m.ProtoReflect().Descriptor()))
 	if err == nil {
 		err = protojson.Unmarshal(b, m)
 	}
 	if err != nil {
-		ps.add("", "does not follow the schema: %s", oneLine(err))
+		p.add(path, "does not follow the schema: %s", oneLine(err))
 	}
-	return ps, err == nil
+	return err == nil
 }
 
 // oneLine returns an error's message with line breaks replaced by spaces.
@@ -80,6 +96,17 @@
 	return strings.Join(strings.Fields(err.Error()), " ")
 }
 
+// maxMessage is the length in bytes of the longest path or message, both of which quote the file.
+const maxMessage = 1000
+
+// shorten returns the beginning of a text that is too long for a message.
+func shorten(s string) string {
+	if len(s) <= maxMessage {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxMessage], "") + "..."
+}
+
 // message checks a decoded value against a message's schema. It returns the value
 // without unknown keys and with zero values in place of values of a wrong type.
 func (p *problems) message(path string, v any, d protoreflect.MessageDescriptor) map[string]any {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -186,13 +186,17 @@
 			continue
 		}
 		tag = t.Tag
-		l, ps := conf.ParseInstances(t.Body)
-		if len(ps) > 0 {
+		l, ps, ok := conf.ReadInstances(t.Body)
+		if !ok {
 			n.telem.Scope.Counter("instance_lists_rejected").Inc(1)
 			n.telem.Log.Info("instance list rejected", "problem", ps[0].String(), "problems", len(ps))
 			continue
 		}
-		n.loop.Post(func(now time.Duration, s *state) { n.applyInstances(now, s, l.Instances) })
+		if len(ps) > 0 {
+			n.telem.Scope.Counter("instances_ignored").Inc(int64(len(ps)))
+			n.telem.Log.Info("instances ignored", "problem", ps[0].String(), "problems", len(ps), "listed", len(l))
+		}
+		n.loop.Post(func(now time.Duration, s *state) { n.applyInstances(now, s, l) })
 	}
 }
 
