--- a/io/front/codec.go
+++ b/io/front/codec.go
@@ -102,15 +102,17 @@
 
 // Sink receives what the platform publishes. Its methods don't block for long.
 type Sink interface {
-	// SetPlan replaces the configuration if it is newer than the current one.
-	SetPlan(p *spec.Plan)
+	// SetPlan replaces the configuration if it is newer than the current one. It reports false if the
+	// configuration can't be used.
+	SetPlan(p *spec.Plan) bool
 	// ReplaceTargets replaces the complete target list.
 	ReplaceTargets(d *spec.Directory)
 	// PutTarget adds or updates a target.
 	PutTarget(revision uint64, r *spec.Replica)
 	// RemoveTarget removes a target.
 	RemoveTarget(revision uint64, id string)
-	// InvalidTarget reports an entry of the target list that could not be decoded.
+	// InvalidTarget reports an entry of the target list that could not be decoded. The target is
+	// not used any longer.
 	InvalidTarget(revision uint64, id string, err error)
 	// ListDrains replaces the operator's requests to drain data centres by the complete list as
 	// of a stamp, and PutDrain applies one change. Both return once the change is in force.
--- a/io/front/drain.go
+++ b/io/front/drain.go
@@ -13,12 +13,12 @@
 
 // ListDrains implements Sink.
 func (f *Front) ListDrains(at drain.Stamp, listed []drain.Record) {
-	f.changeDrains("platform", func(s drain.Set) (drain.Set, bool) { return s.WithList(at, listed) })
+	f.changeDrains(fromPlatform, func(s drain.Set) (drain.Set, bool) { return s.WithList(at, listed) })
 }
 
 // PutDrain implements Sink.
 func (f *Front) PutDrain(r drain.Record) {
-	f.changeDrains("platform", func(s drain.Set) (drain.Set, bool) { return s.With(r) })
+	f.changeDrains(fromPlatform, func(s drain.Set) (drain.Set, bool) { return s.With(r) })
 }
 
 // changeDrains changes the drains and waits until that is in force: the platform
--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -367,6 +367,7 @@
 		f.telem.Log.Error(err, "cannot decode peer's target list", "peer", peer)
 		return
 	}
+	f.dropInvalid(d, peer)
 	age := time.Duration(r.DirectoryAgeMs) * time.Millisecond
 	f.loop.Post(func(now time.Duration, s *state) {
 		if s.roster.AdoptPeer(now, age, d) {
--- /dev/null
+++ b/io/front/odd_test.go
@@ -0,0 +1,83 @@
+package front
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"kingcupstand/core/limit"
+	"kingcupstand/core/origin"
+	"kingcupstand/internal/prop"
+	"kingcupstand/io/actor"
+	"kingcupstand/io/gossip"
+	"kingcupstand/schema/spec"
+)
+
+// datagram is the largest UDP payload in bytes.
+const datagram = 65507
+
+// Guards against fronts that lose each other: whatever a front has accepted from the operator, targets
+// and callers, its peers accept the heartbeat that follows.
+func TestPropertyPeersAcceptHeartbeats(t *testing.T) {
+	amounts := []float64{0, 1, 5e9, 1e19, 1e300, math.MaxFloat64, -1, math.Inf(1), math.NaN()}
+	lengths := []int{0, 1, 199, 200, 201, 5000}
+	prop.Check(t, func(r *rapid.T) {
+		f := sharingFront(t, rapid.Bool().Draw(r, "shares"))
+		d := &spec.Plan{Revision: 2, Services: []*spec.PlanService{{Name: "llm", Engine: &spec.PlanEngine{}}}}
+		for i := range rapid.IntRange(0, 5).Draw(r, "workspaces") {
+			d.Workspaces = append(d.Workspaces, &spec.PlanWorkspace{
+				Name: fmt.Sprint("w", i), Rate: rapid.SampledFrom(amounts).Draw(r, "rate"), Burst: rapid.SampledFrom(amounts).Draw(r, "burst"),
+			})
+		}
+		f.SetPlan(d)
+		l := &spec.Directory{Revision: 5}
+		for i := range rapid.IntRange(0, 10).Draw(r, "targets") {
+			e := listedTarget(i+1, letters(rapid.SampledFrom(lengths).Draw(r, "version")))
+			e.Slots = rapid.SampledFrom([]uint32{0, 1, 8, 1 << 16, math.MaxUint32}).Draw(r, "slots")
+			e.Id += letters(rapid.SampledFrom(lengths).Draw(r, "id"))
+			l.Replicas = append(l.Replicas, e)
+		}
+		f.ReplaceTargets(l)
+		prompt := float64(rapid.SampledFrom([]int{0, 1 << 31, 1 << 40}).Draw(r, "prompt"))
+		requests, limited := rapid.IntRange(0, 3).Draw(r, "requests"), rapid.Bool().Draw(r, "limited")
+		b := actor.Ask(f.loop, func(now time.Duration, s *state) []byte {
+			for _, w := range d.Workspaces {
+				s.quota.Take(now, w.Name, prompt)
+			}
+			for _, e := range s.pool.Targets("llm") {
+				for range requests {
+					s.pool.Begin(now, e.ID, int(prompt))
+				}
+				if e.Version != "" {
+					s.origins.Add(now, origin.ID(e.ID), origin.Origin{Service: e.Service, Version: e.Version})
+				}
+				s.pool.ObserveLimit(now, now, e.ID, limit.Rate{Named: limited, PerSecond: 1e9})
+			}
+			m := f.heartbeat(now, s)
+			for _, v := range s.origins.Unreported() {
+				m.Streams = addStream(m.Streams, v)
+			}
+			b, err := proto.Marshal(m)
+			if err != nil {
+				t.Error(err)
+			}
+			return b
+		})
+		f.loop.Stop()
+		if _, err := gossip.Parse(b); err != nil || len(b) > datagram {
+			r.Fatalf("a heartbeat of %d bytes is refused: %v", len(b), err)
+		}
+	})
+}
+
+func letters(n int) string {
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = 'v'
+	}
+	return string(b)
+}
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -1,7 +1,9 @@
 package front
 
 import (
+	"errors"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -139,19 +141,22 @@
 	}
 }
 
+// fromPlatform is the source of a document in the log; others are addresses of peers.
+const fromPlatform = "platform"
+
 // SetPlan implements Sink.
-func (f *Front) SetPlan(d *spec.Plan) { f.acceptPlan("platform", d) }
+func (f *Front) SetPlan(d *spec.Plan) bool { return f.acceptPlan(fromPlatform, d) }
 
-// acceptPlan makes a plan the current one if it is valid and newer. From names its
-// source for the log.
-func (f *Front) acceptPlan(from string, d *spec.Plan) {
-	if d.Revision <= f.plan.Load().Revision() {
-		return
+// acceptPlan makes a plan the current one if it is newer. It reports false if the plan is not
+// valid. From names its source for the log.
+func (f *Front) acceptPlan(from string, d *spec.Plan) bool {
+	if d.Revision > 0 && d.Revision <= f.plan.Load().Revision() {
+		return true
 	}
 	p, err := plan.New(d)
 	if err != nil {
 		f.telem.Log.Error(err, "plan refused", "revision", d.Revision, "from", from)
-		return
+		return false
 	}
 	actor.Ask(f.loop, func(now time.Duration, s *state) bool {
 		if p.Revision() <= s.plan.Revision() {
@@ -173,6 +178,7 @@
 			"routes", len(d.Routes), "workspaces", len(d.Workspaces))
 		return true
 	})
+	return true
 }
 
 // applyTargets passes the targets that the list holds to the pool, and schedules the
@@ -254,10 +260,56 @@
 	}
 }
 
+// errOwnAddress reports an entry whose address is one of this front's own.
+var errOwnAddress = errors.New("address of this front")
+
+// checkEntry returns an error if requests can't be sent to the target of an entry. Those that a front
+// sent to itself would come back as callers' requests.
+func (f *Front) checkEntry(r *spec.Replica) error {
+	if err := roster.Check(r); err != nil {
+		return err
+	}
+	s := f.settings
+	if slices.ContainsFunc([]string{s.Callers, s.Readiness, s.Metrics, s.Control, s.Peer}, func(o string) bool { return sameAddress(o, r.Address) }) {
+		return errOwnAddress
+	}
+	return nil
+}
+
+// sameAddress reports whether two addresses, as IP:port, are the same.
+func sameAddress(a, b string) bool {
+	p, err1 := netip.ParseAddrPort(a)
+	q, err2 := netip.ParseAddrPort(b)
+	return err1 == nil && err2 == nil && p.Port() == q.Port() && p.Addr().Unmap() == q.Addr().Unmap()
+}
+
+// dropInvalid removes the entries of a list that can't be used, and returns their IDs. From names the
+// list's source for the log.
+func (f *Front) dropInvalid(d *spec.Directory, from string) (ids []string) {
+	d.Replicas = slices.DeleteFunc(d.Replicas, func(r *spec.Replica) bool {
+		err := f.checkEntry(r)
+		if err != nil {
+			ids = append(ids, r.Id)
+			f.logInvalid(d.Revision, r.Id, err, from)
+		}
+		return err != nil
+	})
+	return ids
+}
+
+// logInvalid logs an entry that can't be used. There may be many of them.
+func (f *Front) logInvalid(revision uint64, id string, err error, from string) {
+	f.log("entry", "target entry unreadable", "target", id[:min(len(id), roster.MaxName)], "revision", revision, "error", err.Error(), "from", from)
+}
+
 // ReplaceTargets implements Sink.
 func (f *Front) ReplaceTargets(d *spec.Directory) {
+	invalid := f.dropInvalid(d, fromPlatform)
 	f.updateList(func(now time.Duration, s *state) {
 		s.roster.ApplySnapshot(now, d)
+		for _, id := range invalid {
+			s.roster.PutInvalid(now, d.Revision, id)
+		}
 		s.origins.Interrupt(now) // changes before the snapshot may have been missed
 		f.telem.Log.Info("target list read", "revision", d.Revision, "targets", len(d.Replicas))
 		f.applyTargets(now, s)
@@ -266,6 +318,10 @@
 
 // PutTarget implements Sink.
 func (f *Front) PutTarget(revision uint64, r *spec.Replica) {
+	if err := f.checkEntry(r); err != nil {
+		f.InvalidTarget(revision, r.Id, err)
+		return
+	}
 	f.updateList(func(now time.Duration, s *state) {
 		s.roster.Put(now, revision, r)
 		s.origins.ObserveVersion(r.Service, r.Version) // it may be gone before the list is applied
@@ -286,7 +342,7 @@
 func (f *Front) InvalidTarget(revision uint64, id string, err error) {
 	f.updateList(func(now time.Duration, s *state) {
 		s.roster.PutInvalid(now, revision, id)
-		f.telem.Log.Info("target entry unreadable", "target", id, "revision", revision, "error", err.Error())
+		f.logInvalid(revision, id, err, fromPlatform)
 	})
 }
 
