--- a/internal/stand/store.go
+++ b/internal/stand/store.go
@@ -52,6 +52,9 @@
 	s.apply(storeItem{Key: key, Value: base64.StdEncoding.EncodeToString(value)})
 }
 
+// PutText sets the value of a key as it stands in responses, where it should be in base64.
+func (s *Store) PutText(key, value string) { s.apply(storeItem{Key: key, Value: value}) }
+
 // Register registers a replica of a service that is ready for requests.
 func (s *Store) Register(r *Replica, service string) { s.putReplica(r, service, "ready") }
 
