--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -221,7 +221,7 @@
 		Sequence:       s.sequence,
 		Plan:           s.plan.Revision(),
 		Directory:      s.roster.Revision(),
-		DirectoryAgeMs: uint32(s.roster.Age(now).Milliseconds()),
+		DirectoryAgeMs: milliseconds(s.roster.Age(now)),
 		DataCentre:     s.pool.DataCentre(),
 		Leaving:        f.stopping.Load(),
 		Peers:          s.peers.Sample(now, s.random),
@@ -381,7 +381,7 @@
 // than the revisions in the request.
 func (f *Front) Fetch(_ context.Context, q *wire.FetchRequest) (*wire.FetchReply, error) {
 	return actor.Ask(f.loop, func(now time.Duration, s *state) *wire.FetchReply {
-		r := &wire.FetchReply{DirectoryAgeMs: uint32(s.roster.Age(now).Milliseconds())}
+		r := &wire.FetchReply{DirectoryAgeMs: milliseconds(s.roster.Age(now))}
 		if s.plan.Revision() > q.Plan {
 			r.Plan = s.plan.Encoded()
 		}
--- a/io/front/limit.go
+++ b/io/front/limit.go
@@ -62,7 +62,7 @@
 
 // encodeLimit and decodeLimit translate between a report and its message.
 func encodeLimit(r pool.LimitReport) *wire.TargetLimit {
-	m := &wire.TargetLimit{Target: r.Target, Born: r.Born, AgeMs: uint32(r.Age.Milliseconds())}
+	m := &wire.TargetLimit{Target: r.Target, Born: r.Born, AgeMs: milliseconds(r.Age)}
 	if r.Named {
 		m.PerSecond = &r.PerSecond
 	}
--- a/io/front/odd_test.go
+++ b/io/front/odd_test.go
@@ -81,3 +81,16 @@
 	}
 	return string(b)
 }
+
+// Guards against a long time that peers take for a short one: a stream of a route with a timeout of 49 days
+// would count as begun a moment ago, and go on at a version that didn't begin it.
+func TestTimesInMessagesDoNotWrap(t *testing.T) {
+	for d, want := range map[time.Duration]uint32{
+		-time.Second: 0, 0: 0, 1500 * time.Microsecond: 1, math.MaxUint32 * time.Millisecond: math.MaxUint32,
+		(math.MaxUint32 + 1001) * time.Millisecond: math.MaxUint32, math.MaxInt64: math.MaxUint32,
+	} {
+		if got := milliseconds(d); got != want {
+			t.Errorf("%v: got %d ms, want %d", d, got, want)
+		}
+	}
+}
--- a/io/front/origin.go
+++ b/io/front/origin.go
@@ -50,7 +50,7 @@
 		r.Service = q.service
 	}
 	if d, ok := q.begunAgo(); ok {
-		r.BegunMs = proto.Uint32(uint32(d.Milliseconds()))
+		r.BegunMs = proto.Uint32(milliseconds(d))
 	}
 	var o origin.Origin
 	if o, q.basis = q.front.originOf(ctx, r); q.basis == basisNone {
--- a/io/front/poison.go
+++ b/io/front/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"kingcupstand/core/poison"
@@ -168,4 +169,7 @@
 	return r
 }
 
-func milliseconds(d time.Duration) uint32 { return uint32(d.Milliseconds()) }
+// milliseconds returns a time as messages carry it: the nearest one from 0 to some 49 days.
+func milliseconds(d time.Duration) uint32 {
+	return uint32(min(max(0, d.Milliseconds()), math.MaxUint32))
+}
--- a/io/front/sighting.go
+++ b/io/front/sighting.go
@@ -17,7 +17,7 @@
 	for _, s := range ss {
 		m.Peers = append(m.Peers, s.Peer)
 		m.Beats = append(m.Beats, s.Beat)
-		m.AgesMs = append(m.AgesMs, uint32(s.Age.Milliseconds()))
+		m.AgesMs = append(m.AgesMs, milliseconds(s.Age))
 		if s.Leaving {
 			m.Leaving = append(m.Leaving, s.Peer)
 		}
--- a/io/front/warm.go
+++ b/io/front/warm.go
@@ -95,7 +95,7 @@
 func encodeWarming(rs []pool.WarmingReport) []*wire.WarmingTarget {
 	var ms []*wire.WarmingTarget
 	for _, r := range rs {
-		ms = append(ms, &wire.WarmingTarget{Target: r.Target, Born: r.Born, LeftMs: uint32(r.Left.Milliseconds())})
+		ms = append(ms, &wire.WarmingTarget{Target: r.Target, Born: r.Born, LeftMs: milliseconds(r.Left)})
 	}
 	return ms
 }
