--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -14,6 +14,7 @@
 	"kingcupstand/core/quota"
 	"kingcupstand/core/sched"
 	"kingcupstand/io/actor"
+	"kingcupstand/io/gossip"
 	"kingcupstand/schema/spec"
 	"kingcupstand/schema/wire"
 )
@@ -220,7 +221,7 @@
 		Sequence:       s.sequence,
 		Plan:           s.plan.Revision(),
 		Directory:      s.roster.Revision(),
-		DirectoryAgeMs: uint32(s.roster.Age(now).Milliseconds()),
+		DirectoryAgeMs: milliseconds(s.roster.Age(now)),
 		DataCentre:     s.pool.DataCentre(),
 		Leaving:        f.stopping.Load(),
 		Peers:          s.peers.Sample(now, s.random),
@@ -230,7 +231,8 @@
 	}
 	for _, u := range s.pool.Uses(now) {
 		m.Uses = append(m.Uses, &wire.TargetUse{
-			Target: u.Target, Running: uint32(u.Running), PromptTokens: uint32(u.PromptTokens), Failing: u.Failing, Recent: uint32(u.Recent),
+			Target: u.Target, Running: uint32(min(u.Running, gossip.MaxCount)), PromptTokens: uint32(min(u.PromptTokens, gossip.MaxTokens)),
+			Failing: u.Failing, Recent: uint32(min(u.Recent, gossip.MaxCount)),
 		})
 	}
 	for _, r := range s.pool.LimitReports(now) {
@@ -248,7 +250,7 @@
 	}
 	for k, n := range d.Waiting {
 		m.Waits = append(m.Waits, &wire.RankWait{
-			Service: k.Service, Rank: uint32(k.Priority.TierRank), RouteRank: uint32(k.Priority.RouteRank), Late: k.Priority.Late, Count: uint32(n),
+			Service: k.Service, Rank: uint32(k.Priority.TierRank), RouteRank: uint32(k.Priority.RouteRank), Late: k.Priority.Late, Count: uint32(min(n, gossip.MaxCount)),
 			OverShare: k.Priority.OverShare,
 		})
 	}
@@ -365,6 +367,7 @@
 		f.telem.Log.Error(err, "cannot decode peer's target list", "peer", peer)
 		return
 	}
+	f.dropInvalid(d, peer)
 	age := time.Duration(r.DirectoryAgeMs) * time.Millisecond
 	f.loop.Post(func(now time.Duration, s *state) {
 		if s.roster.AdoptPeer(now, age, d) {
@@ -378,7 +381,7 @@
 // than the revisions in the request.
 func (f *Front) Fetch(_ context.Context, q *wire.FetchRequest) (*wire.FetchReply, error) {
 	return actor.Ask(f.loop, func(now time.Duration, s *state) *wire.FetchReply {
-		r := &wire.FetchReply{DirectoryAgeMs: uint32(s.roster.Age(now).Milliseconds())}
+		r := &wire.FetchReply{DirectoryAgeMs: milliseconds(s.roster.Age(now))}
 		if s.plan.Revision() > q.Plan {
 			r.Plan = s.plan.Encoded()
 		}
