--- a/internal/stand/notice.go
+++ b/internal/stand/notice.go
@@ -1,6 +1,7 @@
 package stand
 
 import (
+	"fmt"
 	"net"
 	"slices"
 	"time"
@@ -103,9 +104,10 @@
 func (r *Replica) turnAway(c net.Conn, f Fault, id, says, head string) bool {
 	after := r.refuse(id)
 	status, length := "503 Service Unavailable", 0
+	refusal := fmt.Sprintf("Attempt-Id: %s\r\nNot-Executed: 1\r\n%s", id, says)
 	head = map[Fault]string{
-		Full:             "Not-Executed: 1\r\n" + says,
-		TurnsAwayCut:     "Not-Executed: 1\r\n" + says,
+		Full:             refusal,
+		TurnsAwayCut:     refusal,
 		TurnsAwayForeign: "Not-Executed: 1\r\nAttempt-Id: other\r\n" + says,
 		TurnsAwayRan:     head,
 	}[f]
--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -261,7 +261,7 @@
 	f, says := r.receive(q)
 	id := q.Header.Get("Attempt-Id")
 	if q.Header.Get("Expect-Replica") != r.ID {
-		return write(c, "HTTP/1.1 421 Misdirected Request\r\nReplica-Id: %s\r\nContent-Length: 0\r\n\r\n", r.ID)
+		return write(c, "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: %s\r\nReplica-Id: %s\r\nContent-Length: 0\r\n\r\n", id, r.ID)
 	}
 	head := fmt.Sprintf("Attempt-Id: %s\r\nReplica-Stamp: %s.%s\r\n%s", id, r.ID, id, says)
 	if f.turnsAway() {
--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -138,8 +138,13 @@
 	// reader reads from source.
 	reader  *bufio.Reader
 	address string
-	// Reused is true if an earlier request used the connection.
+	// Reused is true if the connection was idle before.
 	Reused bool
+	// Carried is true if an earlier request was sent on the connection, to which a response may
+	// belong.
+	Carried bool
+	// sent is true once a request was sent.
+	sent bool
 	// idleSince is when the connection was opened or the last request ended.
 	idleSince time.Time
 	// keepAlive is the target's keep-alive timeout.
@@ -153,10 +158,10 @@
 	for {
 		c := d.take(address)
 		if c == nil {
-			return d.open(ctx, address)
+			return d.Open(ctx, address)
 		}
 		if c.reusable(a) {
-			c.Reused = true
+			c.Reused, c.Carried = true, c.sent
 			return c, nil
 		}
 		c.Close()
@@ -196,7 +201,8 @@
 	return c
 }
 
-func (d *Dialer) open(ctx context.Context, address string) (*Conn, error) {
+// Open opens a connection, whether or not others are idle. The caller owns it as one from Get.
+func (d *Dialer) Open(ctx context.Context, address string) (*Conn, error) {
 	n, err := d.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("connect: %w", err)
@@ -361,6 +367,7 @@
 	if len(q.Body) > 0 {
 		v = append(v, q.Body)
 	}
+	c.sent = true
 	n, err := v.WriteTo(c.net)
 	if err != nil {
 		return n > 0, fmt.Errorf("write request: %w", err)
--- a/io/dial/dial_test.go
+++ b/io/dial/dial_test.go
@@ -165,3 +165,18 @@
 		t.Errorf("target that refuses connections: got %v, want ECONNREFUSED", err)
 	}
 }
+
+// Guards against a response that is attributed to the request on a connection which may carry that
+// of an earlier one, and against one that is not used on a connection which carried none.
+func TestCarriedConnection(t *testing.T) {
+	a, _ := startTarget(t, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny")
+	d := dial.New(logr.Discard())
+	if err := d.Check(context.Background(), a, time.Millisecond); err != nil {
+		t.Fatal(err)
+	}
+	for n, want := range []bool{false, true, true} {
+		if c := exchange(t, d, a, dial.Lenient); c.Carried != want {
+			t.Errorf("request %d: got %v, want %v", n, c.Carried, want)
+		}
+	}
+}
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -122,6 +122,12 @@
 	m.telem.Scope.Tagged(map[string]string{"cause": cause(err), "allowed": strconv.FormatBool(allowed)}).Counter("repeats").Inc(1)
 }
 
+// countUnexpected counts a response that can't be attributed to the request, by whether it names
+// another one.
+func (m *meter) countUnexpected(r Reply) {
+	m.telem.Scope.Tagged(map[string]string{"identified": strconv.FormatBool(r.ID != "")}).Counter("responses_unexpected").Inc(1)
+}
+
 // countCut counts a stream that was broken off towards its caller, by the error of the last
 // dispatch and the reason why no other target went on with it.
 func (m *meter) countCut(last, err error) {
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -164,7 +164,8 @@
 	kept bool
 	// sameProcess is true if the response proves that the target is the process that was chosen.
 	sameProcess bool
-	// unexpected is true if the connection carried a response to another request.
+	// unexpected is true if the connection carried a response to another request, or one without
+	// an id: a further one couldn't be attributed.
 	unexpected bool
 }
 
@@ -273,9 +274,10 @@
 // maxUnexpected is how many responses to earlier requests are skipped.
 const maxUnexpected = 2
 
-// receive reads the status and headers of the response. On a reused connection, a
-// duplicate response to an earlier request may come first. It is skipped, and the
-// connection is not used again.
+// receive reads the status and headers of the response. On a connection that has carried an
+// earlier request, a duplicate response to that may come first. It is skipped, and the connection
+// is not used again. A response without an id belongs to this request only if the connection has
+// carried no other.
 func (e *exchange) receive() (*http.Response, Reply, error) {
 	q := e.request
 	for n := 0; ; n++ {
@@ -284,15 +286,17 @@
 			return nil, Reply{}, fmt.Errorf("receive: %w", err)
 		}
 		r := q.front.codec.DecodeReply(a.StatusCode, a.Header)
-		if r.ID == "" || r.ID == q.call.ID {
-			e.sameProcess = r.SameProcess
+		if r.ID == q.call.ID || r.ID == "" && !e.conn.Carried {
+			e.sameProcess, e.unexpected = r.SameProcess, e.unexpected || r.ID == ""
 			e.observeLimit(a.StatusCode, r)
 			e.observeNotices(a.StatusCode, r)
 			return a, r, nil
 		}
 		e.unexpected = true
-		q.front.log("stray", "answer to another request", "request-id", q.call.ID, "answers", r.ID, "target", e.choice.ID, "reused", e.conn.Reused, "status", a.StatusCode, "not-run", r.NotRun)
-		if !e.conn.Reused || n >= maxUnexpected {
+		q.front.log("stray", "answer to another request", "request-id", q.call.ID, "answers", r.ID, "target", e.choice.ID, "reused", e.conn.Carried, "status", a.StatusCode, "not-run", r.NotRun)
+		q.front.meter.countUnexpected(r)
+		// The end of a body without length is that of the connection.
+		if !e.conn.Carried || n >= maxUnexpected || unframed(a) && a.Body != http.NoBody {
 			return nil, r, errWrongRequest
 		}
 		if err := discard(a.Body); err != nil {
