--- a/internal/stand/notice.go
+++ b/internal/stand/notice.go
@@ -18,6 +18,8 @@
 	TurnsAwayUnsigned Fault = "turns-away-unsigned"
 	// ThrottlesUnsigned responds with 429 that has neither a receipt nor Not-Executed.
 	ThrottlesUnsigned Fault = "throttles-unsigned"
+	// TimesOutUnsigned responds with 408 that has neither a receipt nor Not-Executed.
+	TimesOutUnsigned Fault = "times-out-unsigned"
 	// TurnsAwayRan responds with 503 and a receipt after it has run the request.
 	TurnsAwayRan Fault = "turns-away-ran"
 )
@@ -92,7 +94,7 @@
 // turnsAway reports whether the response turns the request away.
 func (f Fault) turnsAway() bool {
 	switch f {
-	case Full, TurnsAwayCut, TurnsAwayForeign, TurnsAwayUnsigned, ThrottlesUnsigned, TurnsAwayRan:
+	case Full, TurnsAwayCut, TurnsAwayForeign, TurnsAwayUnsigned, ThrottlesUnsigned, TimesOutUnsigned, TurnsAwayRan:
 		return true
 	}
 	return false
@@ -116,6 +118,8 @@
 		length = 10
 	case ThrottlesUnsigned:
 		status = "429 Too Many Requests"
+	case TimesOutUnsigned:
+		status = "408 Request Timeout"
 	}
 	return write(c, "HTTP/1.1 %s\r\n%s%sContent-Length: %d\r\n\r\n", status, head, after, length) && length == 0
 }
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -320,6 +320,12 @@
 	return event.After(q.call.LastEventID, q.step)
 }
 
+// refusals are the statuses by which callers know that a request has not run. 421 is always a
+// target's guarantee.
+var refusals = map[int]bool{
+	http.StatusServiceUnavailable: true, http.StatusTooManyRequests: true, http.StatusRequestTimeout: true,
+}
+
 // handle reads the beginning of a response by its status and headers. A successful response
 // needs the target's receipt and the request's id; without them it is not accepted as the
 // target's response. So does one that callers would take for a refusal which has run nothing.
@@ -329,7 +335,7 @@
 	}
 	success := a.StatusCode >= http.StatusOK && a.StatusCode < http.StatusMultipleChoices
 	proved := r.HasReceipt && r.ID != ""
-	if refusal := a.StatusCode == http.StatusServiceUnavailable || a.StatusCode == http.StatusTooManyRequests; refusal && !proved {
+	if refusals[a.StatusCode] && !proved {
 		e.outcome = pool.Failed
 		return result{sent: true, mayHaveRun: true, err: errNoReceipt}
 	}
