--- a/io/front/runs.go
+++ b/io/front/runs.go
@@ -112,7 +112,7 @@
 func (f *Front) readRuns(ctx context.Context, t *spec.Replica) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, runsTimeout)
 	defer cancel()
-	c, err := f.dialer.Get(ctx, t.Address, dial.Lenient)
+	c, err := f.dialer.Open(ctx, t.Address) // lists name no request
 	if err != nil {
 		return nil, err
 	}
