--- a/io/target/target.go
+++ b/io/target/target.go
@@ -4,9 +4,10 @@
 //
 // net/http retries a request on a lost connection if its method is idempotent or if it
 // has an idempotency key. Such a retry would be a second dispatch that the agent doesn't
-// know of. To prevent it, headers with idempotency keys are removed, bodies can't be
-// rewound, and a request without a body gets a new connection. Redirects aren't followed
-// for the same reason.
+// know of. To prevent it, headers with idempotency keys are removed and bodies can't be
+// rewound. Redirects aren't followed for the same reason. Each request gets a new connection:
+// targets don't name the request that they answer, so that a repeated response to an earlier
+// one could not be told from its own.
 //
 // A request is aborted if its target sends nothing for the stall time. A response is
 // complete only if it was read to its proper end: the end of the body, or the closing
@@ -41,7 +42,6 @@
 // Limits of a Client. readBytes is the size of the buffer for bodies that aren't streams.
 const (
 	dialTimeout = 2 * time.Second
-	idleConns   = 256
 	readBytes   = 16 << 10
 	// maxHeaderBytes is the largest size of a response's head.
 	maxHeaderBytes = 64 << 10
@@ -90,10 +90,9 @@
 
 // Client sends requests to one target. It is safe for concurrent use.
 type Client struct {
-	url      *url.URL
-	stall    time.Duration
-	pooled   httpc.Service
-	unpooled httpc.Service
+	url     *url.URL
+	stall   time.Duration
+	service httpc.Service
 }
 
 // New returns a client of the target at a base URL. A request is aborted if the target
@@ -106,10 +105,9 @@
 	}
 	breaker.NoBreakerFor(serviceName)
 	return &Client{
-		url:      u,
-		stall:    stall,
-		pooled:   newService(&http.Transport{MaxIdleConnsPerHost: idleConns, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}),
-		unpooled: newService(&http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}),
+		url:     u,
+		stall:   stall,
+		service: newService(&http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}),
 	}, nil
 }
 
@@ -138,7 +136,7 @@
 	if err != nil {
 		return Result{Reason: call.ReasonTargetUnreachable}
 	}
-	p, err := c.serviceFor(q).DoRequest(r)
+	p, err := c.service.DoRequest(r)
 	if err != nil {
 		return Result{Sent: sent.Load(), Reason: reasonOr(ctx, call.ReasonTargetUnreachable)}
 	}
@@ -160,15 +158,6 @@
 	return other
 }
 
-// serviceFor returns the client to send q with. A request without a body gets a new
-// connection: on a reused one the transport might retry it.
-func (c *Client) serviceFor(q Request) httpc.Service {
-	if q.Body == nil {
-		return c.unpooled
-	}
-	return c.pooled
-}
-
 func (c *Client) request(ctx context.Context, q Request, s Sink, sent *atomic.Bool) (*http.Request, error) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) {
--- a/io/target/target_test.go
+++ b/io/target/target_test.go
@@ -117,6 +117,31 @@
 	}
 }
 
+// Guards against a response to an earlier request, written once more, that is taken for the
+// response to the next one: targets don't name the request that they answer.
+func TestRepeatedResponseIsNotTheNextOnes(t *testing.T) {
+	var first net.Conn
+	u, _ := startServer(t, func(n int64, c net.Conn) {
+		if n == 1 {
+			first = c
+		} else if c == first {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\nno")
+		}
+		_, _ = io.WriteString(c, response200)
+	})
+	k, err := target.New(u, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		s := &sink{}
+		r := k.Run(t.Context(), target.Request{Method: "POST", Path: "/x", Body: strings.NewReader("q")}, s)
+		if !r.Complete || s.status != http.StatusOK || s.body.String() != "ok" {
+			t.Errorf("got %+v, status %d, body %q", r, s.status, s.body.String())
+		}
+	}
+}
+
 // A response is complete only if it was read to its proper end. What arrived before that is
 // passed on, and the request is sent once.
 func TestRunResult(t *testing.T) {
