--- a/internal/stand/notice.go
+++ b/internal/stand/notice.go
@@ -1,6 +1,7 @@
 package stand
 
 import (
+	"fmt"
 	"net"
 	"slices"
 	"time"
@@ -17,6 +18,8 @@
 	TurnsAwayUnsigned Fault = "turns-away-unsigned"
 	// ThrottlesUnsigned responds with 429 that has neither a receipt nor Not-Executed.
 	ThrottlesUnsigned Fault = "throttles-unsigned"
+	// TimesOutUnsigned responds with 408 that has neither a receipt nor Not-Executed.
+	TimesOutUnsigned Fault = "times-out-unsigned"
 	// TurnsAwayRan responds with 503 and a receipt after it has run the request.
 	TurnsAwayRan Fault = "turns-away-ran"
 )
@@ -91,7 +94,7 @@
 // turnsAway reports whether the response turns the request away.
 func (f Fault) turnsAway() bool {
 	switch f {
-	case Full, TurnsAwayCut, TurnsAwayForeign, TurnsAwayUnsigned, ThrottlesUnsigned, TurnsAwayRan:
+	case Full, TurnsAwayCut, TurnsAwayForeign, TurnsAwayUnsigned, ThrottlesUnsigned, TimesOutUnsigned, TurnsAwayRan:
 		return true
 	}
 	return false
@@ -103,9 +106,10 @@
 func (r *Replica) turnAway(c net.Conn, f Fault, id, says, head string) bool {
 	after := r.refuse(id)
 	status, length := "503 Service Unavailable", 0
+	refusal := fmt.Sprintf("Attempt-Id: %s\r\nNot-Executed: 1\r\n%s", id, says)
 	head = map[Fault]string{
-		Full:             "Not-Executed: 1\r\n" + says,
-		TurnsAwayCut:     "Not-Executed: 1\r\n" + says,
+		Full:             refusal,
+		TurnsAwayCut:     refusal,
 		TurnsAwayForeign: "Not-Executed: 1\r\nAttempt-Id: other\r\n" + says,
 		TurnsAwayRan:     head,
 	}[f]
@@ -114,6 +118,8 @@
 		length = 10
 	case ThrottlesUnsigned:
 		status = "429 Too Many Requests"
+	case TimesOutUnsigned:
+		status = "408 Request Timeout"
 	}
 	return write(c, "HTTP/1.1 %s\r\n%s%sContent-Length: %d\r\n\r\n", status, head, after, length) && length == 0
 }
