--- a/internal/soak/stream_test.go
+++ b/internal/soak/stream_test.go
@@ -27,8 +27,6 @@
 	streamLength = 50
 	targetSlots  = 6
 	targetQueue  = 12
-	minGap       = 10 * time.Millisecond
-	maxGap       = 25 * time.Millisecond
 	streamTime   = 12 * time.Second
 	streamTries  = 6
 	shownStreams = 3
@@ -47,6 +45,7 @@
 	*harness
 	targets []*target
 	started int
+	gap     time.Duration // usually between events
 	// runs are those of the streams that aren't whole, by path, and counts the numbers of streams and
 	// attempts by what has happened to them. The mutex of the harness guards both.
 	runs   map[string][]*streamRun
@@ -75,10 +74,13 @@
 	from    int
 	plan    answerPlan
 	ended   bool
+	// cut is true if the target couldn't send the whole answer.
+	cut bool
 }
 
-// answerPlan is what is wrong with an answer.
+// answerPlan is how an answer is sent, and what is wrong with it.
 type answerPlan struct {
+	// gap is the time between events in percent of the usual one.
 	gap      time.Duration
 	unframed bool
 	// end is the event at which the answer breaks off, or 0. It is sent in part if inside is true.
@@ -94,7 +96,7 @@
 
 // draw draws what is wrong with an answer from an event on.
 func draw(r *rand.Rand, from int) answerPlan {
-	p := answerPlan{gap: minGap + time.Duration(r.Int64N(int64(maxGap-minGap))), odd: -1, late: r.IntN(2) == 0}
+	p := answerPlan{gap: 50 + time.Duration(r.Int64N(100)), odd: -1, late: r.IntN(2) == 0}
 	p.unframed = r.IntN(unframedChance) == 0
 	if r.IntN(breakChance) == 0 {
 		p.end, p.inside, p.reset = from+1+r.IntN(streamLength-from), r.IntN(2) == 0, r.IntN(2) == 0
@@ -118,10 +120,10 @@
 	if p.odd >= 0 {
 		return "odd answer: " + oddAnswers[p.odd].name
 	}
-	if e, ok := u.target.ended.Load().(string); ok && !u.ended {
+	if e, ok := u.target.ended.Load().(string); ok && (u.cut || !u.ended) {
 		return s + ", target ended with " + e
 	}
-	if p.end > 0 && u.ended {
+	if p.end > 0 && u.ended && !u.cut {
 		s += ", ends with " + map[bool]string{true: "RST", false: "FIN"}[p.reset] + map[bool]string{true: " in an event", false: " between events"}[p.inside]
 	}
 	return s
@@ -171,14 +173,14 @@
 // Guards against streams that aren't one run in order and of one version, or that end as complete
 // before their last event, while targets fall silent, break off and answer oddly.
 func TestStreams(t *testing.T) {
-	fronts, targets, callers := 4, 8, 60
+	fronts, targets, callers, gap := 4, 8, 60, 10*time.Millisecond
 	if *large {
-		fronts, targets, callers = 40, 120, 900
+		fronts, targets, callers, gap = 40, 120, 900, 40*time.Millisecond
 	}
 	t.Logf("seed %d: %d fronts, %d targets, %d callers", *seed, fronts, targets, callers)
 	s := &streamSoak{
 		harness: &harness{t: t, random: rand.New(rand.NewPCG(*seed, 20)), store: stand.NewStore()},
-		runs:    map[string][]*streamRun{}, counts: map[string]int{},
+		gap:     gap, runs: map[string][]*streamRun{}, counts: map[string]int{},
 	}
 	s.store.Put("op/config", []byte(`{"version":1,"routes":[{"name":"chat","host":"soak","prefix":"/chat/","route_kind":"streaming","timeout_ms":12000,"latency_goal_ms":800,"priority":0,"service":"llm","max_attempts":3,"resumable":true,"gap_goal_ms":400}],
 		"services":[{"name":"llm","max_connections":520,"engine":{"slots":6,"kv_capacity":400000}}]}`))
@@ -207,7 +209,7 @@
 	for _, c := range slices.Sorted(maps.Keys(s.counts)) {
 		t.Logf("%7d %s", s.counts[c], c)
 	}
-	if s.counts["streams: whole"] < s.counts["streams"]/2 || s.counts["resumes"] == 0 {
+	if s.counts["streams: whole"] < s.counts["streams"]/2 || s.counts["attempts: resumes true, status 200"] == 0 {
 		t.Error("want at least half of the streams whole, and some resumed")
 	}
 }
@@ -295,7 +297,7 @@
 	p := draw(a.random, from)
 	a.mu.Unlock()
 	if u.plan = p; !strings.HasPrefix(u.attempt, "s-") {
-		u.plan = answerPlan{odd: -1}
+		u.plan = answerPlan{odd: -1, gap: 100}
 	}
 	a.soak.note(path, u)
 	defer a.soak.noteEnd(u)
@@ -320,7 +322,7 @@
 	}
 	ok := send(c, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n%s\r\n\r\n", head, framing)
 	for n := u.from + 1; ok && n <= streamLength; n++ {
-		time.Sleep(p.gap * time.Duration(a.slowdown.Load()))
+		time.Sleep(a.soak.gap * p.gap / 100 * time.Duration(a.slowdown.Load()))
 		t := streamTexts(path, a.Version, n, n)
 		if n == p.end {
 			if p.inside {
@@ -333,6 +335,7 @@
 		}
 		ok = send(c, "%s", frame(t))
 	}
+	u.cut = !ok
 	if p.unframed || !ok || !send(c, "0\r\n\r\n") {
 		return false
 	}
@@ -461,10 +464,7 @@
 		})
 		o.front = f
 		k.outcomes = append(k.outcomes, o)
-		if k.first != "" {
-			s.count(fmt.Sprintf("resumes: status %d", o.status))
-			s.count("resumes")
-		}
+		s.count(fmt.Sprintf("attempts: resumes %v, status %d", k.first != "", o.status))
 		if o.status == http.StatusOK {
 			if e := k.add(o); e != "" {
 				end = s.outOfOrder(k, e)
