--- a/io/front/send.go
+++ b/io/front/send.go
@@ -48,6 +48,7 @@
 	errPartialEvent = errors.New("stream ended in the middle of an event")
 	errNoEvents     = errors.New("stream ended before its first event")
 	errDeclined     = errors.New("target declined to go on with the response")
+	errTargetEnded  = errors.New("stream without length ended with its target")
 	errNoStream     = errors.New("response is no stream of events")
 	errSilenceEnded = errors.New("silent target has gone on")
 	errBodyTooLong  = errors.New("response body is too long")
@@ -77,7 +78,7 @@
 	if !e.opened {
 		e.attemptsLeft, e.dispatchesLeft = e.attemptsLeft-1, e.dispatchesLeft-1
 		e.criteria = q.takeoverCriteria(e.choice)
-		e.continues = q.stream != nil
+		e.continues, e.mayBeWhole = q.stream != nil, q.mayBeWhole
 		v = e.open()
 		q.recordDispatch(e, v)
 	}
@@ -136,6 +137,9 @@
 	// continues is true if the caller has the beginning of a response, so that only a success may
 	// be forwarded.
 	continues bool
+	// mayBeWhole is true if the stream may be complete, so that an answer without events may be its
+	// rest.
+	mayBeWhole bool
 	// opened is true once there is a response to forward: a stream with its first events, or
 	// plain.
 	opened   bool
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"syscall"
 	"time"
 
 	"kingcupstand/core/event"
@@ -136,12 +137,27 @@
 		return errNoEvents
 	}
 	e.broken = false
-	if e.continues && !e.begun() {
+	if e.continues && !e.begun() && !e.mayBeWhole {
 		return errNoEvents // it doesn't show that the stream had ended before
 	}
 	return nil
 }
 
+// mayBeCut reports whether a stream without length and chunks may have been cut at the end of its
+// connection, which the system also closes in order for a process that has ended: its target
+// doesn't take connections any more, or the request has been moved to another one, which has the
+// rest. It is false if no other target could tell.
+func (e *exchange) mayBeCut() bool {
+	q := e.request
+	if !unframed(e.response) || !q.route.Repeatable() || !e.at.Joinable() {
+		return false
+	}
+	if !e.takeover.settle() {
+		return true
+	}
+	return errors.Is(q.front.dialer.Check(e.parent, e.choice.Address, 0), syscall.ECONNREFUSED)
+}
+
 // forwardStream forwards the events of a target's response until it ends. Only complete
 // events are forwarded, so that another target can continue after the last one.
 func (e *exchange) forwardStream() result {
@@ -180,6 +196,10 @@
 	if err := e.streamError(err); err != nil {
 		return result{sent: true, mayHaveRun: true, err: err}
 	}
+	if e.mayBeCut() {
+		q.mayBeWhole = true
+		return result{sent: true, mayHaveRun: true, err: errTargetEnded}
+	}
 	e.keep(e.response)
 	e.outcome = pool.Good
 	// A stream without length may have been broken off between two events.
@@ -220,6 +240,7 @@
 		}
 		q.stream.events++
 	}
+	q.mayBeWhole = false
 	if err := http.NewResponseController(q.writer).Flush(); err != nil {
 		return fmt.Errorf("flush: %w", err)
 	}
