--- a/io/front/request.go
+++ b/io/front/request.go
@@ -111,8 +111,6 @@
 	step uint64
 	// stream is the streamed response that the caller is receiving; nil before its start.
 	stream *stream
-	// mayBeWhole is true if the stream may be complete, as its target has ended after the last event.
-	mayBeWhole bool
 	// released notes that the stream is no longer in progress; nil if callers can't resume it.
 	released func(time.Duration, *state)
 	// whole is true if the caller has got the whole response.
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -78,7 +78,7 @@
 	if !e.opened {
 		e.attemptsLeft, e.dispatchesLeft = e.attemptsLeft-1, e.dispatchesLeft-1
 		e.criteria = q.takeoverCriteria(e.choice)
-		e.continues, e.mayBeWhole = q.stream != nil, q.mayBeWhole
+		e.continues = q.stream != nil
 		v = e.open()
 		q.recordDispatch(e, v)
 	}
@@ -137,9 +137,6 @@
 	// continues is true if the caller has the beginning of a response, so that only a success may
 	// be forwarded.
 	continues bool
-	// mayBeWhole is true if the stream may be complete, so that an answer without events may be its
-	// rest.
-	mayBeWhole bool
 	// opened is true once there is a response to forward: a stream with its first events, or
 	// plain.
 	opened   bool
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -137,7 +137,7 @@
 		return errNoEvents
 	}
 	e.broken = false
-	if e.continues && !e.begun() && !e.mayBeWhole {
+	if e.continues && !e.begun() {
 		return errNoEvents // it doesn't show that the stream had ended before
 	}
 	return nil
@@ -197,7 +197,6 @@
 		return result{sent: true, mayHaveRun: true, err: err}
 	}
 	if e.mayBeCut() {
-		q.mayBeWhole = true
 		return result{sent: true, mayHaveRun: true, err: errTargetEnded}
 	}
 	e.keep(e.response)
@@ -240,7 +239,6 @@
 		}
 		q.stream.events++
 	}
-	q.mayBeWhole = false
 	if err := http.NewResponseController(q.writer).Flush(); err != nil {
 		return fmt.Errorf("flush: %w", err)
 	}
