--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -19,6 +19,7 @@
 // # Usage
 //
 //	go test ./internal/soak -soak.seed=7 -soak.time=20s
+//	go test ./internal/soak -run TestStreams -soak.large -soak.seed=7 -soak.time=20s
 package soak
 
 import (
