--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -145,8 +145,8 @@
 
 // mayBeCut reports whether a stream without length and chunks may have been cut at the end of its
 // connection, which the system also closes in order for a process that has ended: its target
-// doesn't take connections any more, or the request has been moved to another one, which has the
-// rest. It is false if no other target could tell.
+// can't be reached any more, or the request has been moved to another one, which has the rest. It is
+// false if no other target could tell.
 func (e *exchange) mayBeCut() bool {
 	q := e.request
 	if !unframed(e.response) || !q.route.Repeatable() || !e.at.Joinable() {
@@ -155,7 +155,14 @@
 	if !e.takeover.settle() {
 		return true
 	}
-	return errors.Is(q.front.dialer.Check(e.parent, e.choice.Address, 0), syscall.ECONNREFUSED)
+	// An attempt may time out because the front is short of processor time.
+	for range crashChecks {
+		err := q.front.dialer.Reach(e.parent, e.choice.Address)
+		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+			return err != nil
+		}
+	}
+	return true
 }
 
 // forwardStream forwards the events of a target's response until it ends. Only complete
