--- a/io/front/crash.go
+++ b/io/front/crash.go
@@ -59,7 +59,8 @@
 }
 
 // cutOff reports whether a response whose end is the end of the connection was cut off by the end of
-// its target's process: the target isn't leaving, and its host refuses connections.
+// its target's process: the target isn't leaving, and its host refuses connections. If the target can't
+// be reached, a request that another one may answer counts as cut off.
 func (e *exchange) cutOff(a *http.Response) bool {
 	if !unframed(a) {
 		return false
@@ -68,7 +69,16 @@
 	stays := actor.Ask(q.front.loop, func(_ time.Duration, s *state) bool {
 		return slices.ContainsFunc(s.pool.Targets(q.service), func(t pool.Target) bool { return t.ID == c.ID && !t.Leaving })
 	})
-	return stays && errors.Is(q.front.dialer.Check(e.ctx, c.Address, 0), syscall.ECONNREFUSED)
+	if !stays {
+		return false
+	}
+	for range crashChecks {
+		err := q.front.dialer.Reach(e.parent, c.Address)
+		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+			return err != nil
+		}
+	}
+	return q.route.Repeatable()
 }
 
 // runCrashCheck tries to connect to a target. It has crashed if its host refuses connections, or
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -181,6 +181,9 @@
 	if err := e.streamError(err); err != nil {
 		return result{sent: true, mayHaveRun: true, err: err}
 	}
+	if unframed(e.response) && !e.takeover.settle() {
+		return result{sent: true, mayHaveRun: true, err: errCutOff} // another target has the rest, if there is one
+	}
 	e.keep(e.response)
 	e.outcome = pool.Good
 	// A stream without length may have been broken off between two events.
