--- a/internal/stand/crash.go
+++ b/internal/stand/crash.go
@@ -91,12 +91,15 @@
 // reset resets all open connections. r.mu must be held.
 func (r *Replica) reset() {
 	for c := range r.conns {
-		resetConn(c)
+		ResetConn(c)
 	}
 }
 
-// resetConn closes a connection with a reset instead of an orderly end.
-func resetConn(c net.Conn) {
+// ResetConn closes a connection with a reset instead of an orderly end.
+func ResetConn(c net.Conn) {
+	if p, ok := c.(*pausedConn); ok {
+		c = p.Conn
+	}
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetLinger(0) // an error means that it is closed already
 	}
--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -58,6 +58,11 @@
 	// replica's warm-up that it lists.
 	Zone   string
 	ColdMs int
+	// Slots is the number of requests that the store lists; if 0, replicaSlots.
+	Slots int
+	// Answer, unless it is nil, answers the requests that the replica runs. Head has the header lines
+	// of all responses. It reports false if the connection must be closed.
+	Answer func(c net.Conn, q *http.Request, head string) bool
 
 	listener net.Listener
 	faults   *faults
@@ -204,7 +209,7 @@
 		r.mu.Lock()
 		r.conns[c] = true
 		if r.crash.down { // accepted just before the crash
-			resetConn(c)
+			ResetConn(c)
 		}
 		r.mu.Unlock()
 		go r.loop(&pausedConn{c, &r.silence})
@@ -267,6 +272,10 @@
 	if f.turnsAway() {
 		return r.turnAway(c, f, id, says, head)
 	}
+	if r.Answer != nil {
+		defer r.beginRun(id)()
+		return r.Answer(c, q, head)
+	}
 	if sendEndless(c, f, head) {
 		return false
 	}
--- a/internal/stand/store.go
+++ b/internal/stand/store.go
@@ -73,7 +73,7 @@
 	}
 	s.Put("servers/"+r.ID, fmt.Appendf(nil,
 		`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":%d,"state":%q,"cold_remaining_ms":%d,"sequence":1%s}`,
-		service, r.Address(), cmp.Or(r.Zone, "z1"), version, replicaSlots, state, r.ColdMs, born))
+		service, r.Address(), cmp.Or(r.Zone, "z1"), version, cmp.Or(r.Slots, replicaSlots), state, r.ColdMs, born))
 }
 
 // Delete removes a key.
--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -182,6 +182,17 @@
 	return nil
 }
 
+// Reach opens a connection to the address, which then is idle. Unlike Check, it doesn't take an idle
+// connection for a sign that the target accepts new ones.
+func (d *Dialer) Reach(ctx context.Context, address string) error {
+	c, err := d.open(ctx, address)
+	if err != nil {
+		return err
+	}
+	d.keep(c)
+	return nil
+}
+
 // take removes and returns the idle connection that was used last, or nil.
 func (d *Dialer) take(address string) *Conn {
 	d.mu.Lock()
--- a/io/dial/dial_test.go
+++ b/io/dial/dial_test.go
@@ -165,3 +165,28 @@
 		t.Errorf("target that refuses connections: got %v, want ECONNREFUSED", err)
 	}
 }
+
+// Guards against a target that is taken for reachable because one of its connections isn't closed yet.
+func TestReachOpensConnection(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	d := dial.New(logr.Discard())
+	if err := d.Reach(context.Background(), l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	l.Close()
+	if err := d.Reach(context.Background(), l.Addr().String()); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("got %v, want a refused connection", err)
+	}
+	if err := d.Check(context.Background(), l.Addr().String(), 0); err != nil {
+		t.Errorf("got %v, want the idle connection", err)
+	}
+}
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -157,7 +157,7 @@
 var causes = map[error]string{
 	errNotRun: "not-run", errStalled: "silent", errServerError: "target-failed", errWrongRequest: "foreign-answer",
 	errNoReceipt: "no-receipt", errPartialEvent: "partial-event", errNoEvents: "no-events", errDeclined: "declined", errSilenceEnded: "silence-ended",
-	errNoStream: "no-stream", event.ErrOrder: "out-of-order", event.ErrMalformed: "malformed-event", errWithheld: "withheld", errTimeout: "timeout", errStopped: "stopping",
+	errNoStream: "no-stream", errTargetEnded: "target-ended", event.ErrOrder: "out-of-order", event.ErrMalformed: "malformed-event", errWithheld: "withheld", errTimeout: "timeout", errStopped: "stopping",
 }
 
 // allow reports whether a line of the kind may be written now, and how many were
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -48,6 +48,7 @@
 	errPartialEvent = errors.New("stream ended in the middle of an event")
 	errNoEvents     = errors.New("stream ended before its first event")
 	errDeclined     = errors.New("target declined to go on with the response")
+	errTargetEnded  = errors.New("stream without length ended with its target")
 	errNoStream     = errors.New("response is no stream of events")
 	errSilenceEnded = errors.New("silent target has gone on")
 	errBodyTooLong  = errors.New("response body is too long")
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"syscall"
 	"time"
 
 	"kingcupstand/core/event"
@@ -142,6 +143,28 @@
 	return nil
 }
 
+// mayBeCut reports whether a stream without length and chunks may have been cut at the end of its
+// connection, which the system also closes in order for a process that has ended: its target
+// can't be reached any more, or the request has been moved to another one, which has the rest. It is
+// false if no other target could tell.
+func (e *exchange) mayBeCut() bool {
+	q := e.request
+	if !unframed(e.response) || !q.route.Repeatable() || !e.at.Joinable() {
+		return false
+	}
+	if !e.takeover.settle() {
+		return true
+	}
+	// An attempt may time out because the front is short of processor time.
+	for range crashChecks {
+		err := q.front.dialer.Reach(e.parent, e.choice.Address)
+		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+			return err != nil
+		}
+	}
+	return true
+}
+
 // forwardStream forwards the events of a target's response until it ends. Only complete
 // events are forwarded, so that another target can continue after the last one.
 func (e *exchange) forwardStream() result {
@@ -180,6 +203,9 @@
 	if err := e.streamError(err); err != nil {
 		return result{sent: true, mayHaveRun: true, err: err}
 	}
+	if e.mayBeCut() {
+		return result{sent: true, mayHaveRun: true, err: errTargetEnded}
+	}
 	e.keep(e.response)
 	e.outcome = pool.Good
 	// A stream without length may have been broken off between two events.
