--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -19,6 +19,7 @@
 // # Usage
 //
 //	go test ./internal/soak -soak.seed=7 -soak.time=20s
+//	go test ./internal/soak -run TestStreams -soak.large -soak.seed=7 -soak.time=20s
 package soak
 
 import (
@@ -45,6 +46,7 @@
 var (
 	seed      = flag.Uint64("soak.seed", 1, "seed of the faults and of the load")
 	faultTime = flag.Duration("soak.time", 4*time.Second, "time during which faults are injected")
+	program   = flag.String("soak.front", "", "program of the fronts (default: it is built)")
 )
 
 // Sizes and times.
@@ -65,8 +67,10 @@
 	binary   string
 	settings string
 	address  string
-	mu       sync.Mutex
-	cmd      *exec.Cmd
+	// threads is the process's GOMAXPROCS; 0 for that of the test.
+	threads int
+	mu      sync.Mutex
+	cmd     *exec.Cmd
 	// restarting is locked while the process is restarted, so that two concurrent faults
 	// don't start it twice.
 	restarting sync.Mutex
@@ -77,6 +81,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := exec.Command(p.binary, "--settings", p.settings)
+	if p.threads > 0 {
+		c.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", p.threads))
+	}
 	f, err := os.OpenFile(p.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		p.t.Error(err)
@@ -110,6 +117,16 @@
 	}
 }
 
+// crash kills the process and starts it again after a time.
+func (p *process) crash(down time.Duration) {
+	p.restarting.Lock()
+	defer p.restarting.Unlock()
+	p.signal(syscall.SIGKILL)
+	p.wait()
+	time.Sleep(down)
+	p.start()
+}
+
 // showLog logs the last lines of the process's log, and all lines about the attempt id
 // unless that is empty.
 func (p *process) showLog(lines int, id string) {
@@ -204,7 +221,7 @@
 		time.Sleep(time.Duration(100+h.random.IntN(500)) * time.Millisecond)
 	}
 	h.faults.Wait()
-	h.recover()
+	h.recover(paths...)
 	h.undisturbed.Store(true)
 	h.rollingRestart()
 	close(stop)
@@ -215,10 +232,7 @@
 // start builds and starts the fronts, with a store and replicas behind relays.
 func (h *harness) start() {
 	dir := h.t.TempDir()
-	binary := filepath.Join(dir, "front")
-	if out, err := exec.Command("go", "build", "-o", binary, "kingcupstand/cmd/front").CombinedOutput(); err != nil {
-		h.t.Fatalf("build: %v\n%s", err, out)
-	}
+	binary := h.binary(dir)
 	h.publishConfig()
 	server := httptest.NewServer(h.store)
 	h.t.Cleanup(server.CloseClientConnections)
@@ -233,17 +247,34 @@
 	}
 	h.began = time.Now()
 	for i := range fronts {
-		file := filepath.Join(dir, fmt.Sprintf("front-%d.yaml", i))
-		text := fmt.Sprintf("name: front-%d\ndata-centre: z1\ncallers: %s\nreadiness: %s\npeer: %s\nseeds: [%q]\nstore: %s\ngrace-ms: 3000\nretry-ratio: 0.2\nretry-slack: 50\nretry-window-ms: 10000\ncontracts: [places]\nwarm-overshoot: 1.5\nwarm-slack: 5\n",
-			i, h.address(i, 0), h.address(i, 1), h.address(i, 2), h.address(0, 2), store.Address())
-		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-			h.t.Fatal(err)
-		}
-		p := &process{t: h.t, binary: binary, settings: file, address: h.address(i, 0)}
-		p.start()
-		h.fronts = append(h.fronts, p)
-		h.t.Cleanup(func() { p.signal(syscall.SIGCONT); p.signal(syscall.SIGKILL); p.wait() })
+		h.startFront(dir, binary, store.Address(), i, 0)
+	}
+}
+
+// binary returns the program of the fronts, which it builds in a directory unless a flag names one.
+func (h *harness) binary(dir string) string {
+	if *program != "" {
+		return *program
 	}
+	binary := filepath.Join(dir, "front")
+	if out, err := exec.Command("go", "build", "-o", binary, "kingcupstand/cmd/front").CombinedOutput(); err != nil {
+		h.t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
+// startFront starts the front with an index, which runs until the end of the test.
+func (h *harness) startFront(dir, binary, store string, i, threads int) {
+	file := filepath.Join(dir, fmt.Sprintf("front-%d.yaml", i))
+	text := fmt.Sprintf("name: front-%d\ndata-centre: z1\ncallers: %s\nreadiness: %s\npeer: %s\nseeds: [%q]\nstore: %s\ngrace-ms: 3000\nretry-ratio: 0.2\nretry-slack: 50\nretry-window-ms: 10000\ncontracts: [places]\nwarm-overshoot: 1.5\nwarm-slack: 5\n",
+		i, h.address(i, 0), h.address(i, 1), h.address(i, 2), h.address(0, 2), store)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		h.t.Fatal(err)
+	}
+	p := &process{t: h.t, binary: binary, settings: file, address: h.address(i, 0), threads: threads}
+	p.start()
+	h.fronts = append(h.fronts, p)
+	h.t.Cleanup(func() { p.signal(syscall.SIGCONT); p.signal(syscall.SIGKILL); p.wait() })
 }
 
 // relay starts a relay to a target. Faults of connections are injected in relays.
@@ -275,7 +306,7 @@
 		p.start()
 		h.disturb(h.disturbed[:], i, from)
 	}
-	h.recover()
+	h.recover(paths...)
 }
 
 // injectFault starts one random fault, which ends by itself. Faults may overlap.
@@ -299,12 +330,7 @@
 		}
 		switch k {
 		case 0:
-			p.restarting.Lock()
-			defer p.restarting.Unlock()
-			p.signal(syscall.SIGKILL)
-			p.wait()
-			time.Sleep(d / 2)
-			p.start()
+			p.crash(d / 2)
 		case 1:
 			p.signal(syscall.SIGSTOP)
 			time.Sleep(d)
@@ -352,7 +378,7 @@
 			return
 		case <-time.After(time.Duration(r.IntN(40)) * time.Millisecond):
 		}
-		path := []string{"/chat/", "/get/", "/do/"}[r.IntN(3)] + fmt.Sprint(i)
+		path := paths[r.IntN(len(paths))] + fmt.Sprint(i)
 		undisturbed := h.undisturbed.Load()
 		f := r.IntN(fronts)
 		chat := strings.HasPrefix(path, "/chat/")
@@ -405,12 +431,15 @@
 	return o
 }
 
-// recover waits until each front serves each route. It fails the test after recoveryTime.
-func (h *harness) recover() {
+// paths begin the paths of the routes.
+var paths = []string{"/chat/", "/get/", "/do/"}
+
+// recover waits until each front serves each of the paths. It fails the test after recoveryTime.
+func (h *harness) recover(paths ...string) {
 	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
 	end := time.Now().Add(recoveryTime)
 	for i, p := range h.fronts {
-		for n, path := range []string{"/chat/", "/get/", "/do/"} {
+		for n, path := range paths {
 			for k := 0; call(c, p.address, fmt.Sprintf("r-%d-%d-%d", i, n, k), path+"r").status != http.StatusOK; k++ {
 				if time.Now().After(end) {
 					h.t.Errorf("front %d does not serve %s again within %v", i, path, recoveryTime)
