--- a/io/target/target.go
+++ b/io/target/target.go
@@ -7,7 +7,7 @@
 // know of. To prevent it, headers with idempotency keys are removed and bodies can't be
 // rewound. Redirects aren't followed for the same reason. Each request gets a new connection:
 // targets don't name the request that they answer, so that a repeated response to an earlier
-// one could not be told from its own.
+// one could not be distinguished from its own.
 //
 // A request is aborted if its target sends nothing for the stall time. A response is
 // complete only if it was read to its proper end: the end of the body, or the closing
