core/roster: lists of peers name their era and up to where they are complete

Callers: none seen. A front whose watch of the store is late applied changes once more that a peer's list had brought it already. Until the rest arrived its list lacked later changes, yet named the peer's revision; a third front that took it over and had seen those changes kept targets that were gone, or lost some. After a restoration of the store, fronts took the list of an earlier era over as the newer one.

Cause: one number, the store's revision, stood for two things: which of two lists is to be fetched, and up to where a list has all changes. The second is named now, with the era of the store. Changes up to there are passed over, and lists that aren't later are not taken over. A front that refuses one still raises the first number, so that it doesn't fetch it again.

Ruled out: passing over changes up to the peer's revision alone, which loses changes after a restoration; the number of the newest entry, which lacks removals.

Lists of earlier builds name neither and are used as before.

--- a/core/roster/exchange_test.go
+++ b/core/roster/exchange_test.go
@@ -93,6 +93,79 @@
 	})
 }
 
+// restored returns the history of the platform's next era: that of its first changes.
+func (h *history) restored(changes int) *history {
+	return &history{changes: slices.Clone(h.changes[:changes])}
+}
+
+// read applies the full list as of now, in an era. Its revision is that of its newest entry.
+func (w *watcher) read(h *history, era uint64) {
+	w.seen = len(h.changes)
+	d := &spec.Directory{Era: era, Complete: uint64(w.seen)}
+	m := h.list(d.Complete)
+	for _, c := range h.changes {
+		if m[c.replica.Id] == c.replica {
+			d.Replicas, d.Revision = append(d.Replicas, c.replica), c.revision
+		}
+	}
+	w.list.ApplySnapshot(0, d)
+}
+
+// The platform's store is restored from older copies now and then, and gives out revisions again.
+// Fronts that read all of it then, and else its changes, hold at any time what the store held at the
+// revision of the era that they name, and in the end what it holds, whatever lists they take over
+// from one another.
+func TestPropertyListsOfARestoredStore(t *testing.T) {
+	const later = time.Minute // after all grace periods
+	prop.Check(t, func(t *rapid.T) {
+		eras := []*history{{}}
+		ws := []*watcher{{list: roster.New()}, {list: roster.New()}, {list: roster.New()}}
+		read := make([]uint64, len(ws)) // the era of each front's last read
+		front := rapid.IntRange(0, len(ws)-1)
+		watch := func(n, changes int) {
+			era := uint64(len(eras) - 1)
+			if read[n] != era {
+				ws[n].read(eras[era], era)
+				read[n] = era
+			}
+			ws[n].watch(eras[era], changes)
+		}
+		check := func(w *watcher, d *spec.Directory) {
+			got, want := ids(w.list, later), slices.Sorted(maps.Keys(eras[d.Era].list(d.Complete)))
+			if !slices.Equal(got, want) {
+				t.Fatalf("as of revision %d of era %d: got %v, want %v", d.Complete, d.Era, got, want)
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			n := front.Draw(t, "front")
+			w, h := ws[n], eras[len(eras)-1]
+			switch rapid.SampledFrom([]string{"change", "change", "change", "watch", "adopt", "read", "restore"}).Draw(t, "action") {
+			case "change":
+				h.step(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "target"), rapid.Bool().Draw(t, "leave"))
+			case "watch":
+				watch(n, rapid.IntRange(1, 5).Draw(t, "changes"))
+			case "adopt":
+				w.list.AdoptPeer(0, 0, ws[front.Draw(t, "peer")].list.Directory(0))
+			case "read":
+				w.read(h, uint64(len(eras)-1))
+				read[n] = uint64(len(eras) - 1)
+			case "restore":
+				if len(h.changes) > 0 { // a store that holds a configuration isn't at revision 0
+					eras = append(eras, h.restored(rapid.IntRange(1, len(h.changes)).Draw(t, "changes kept")))
+				}
+			}
+			if d := w.list.Directory(0); d.Complete > 0 {
+				check(w, d)
+			}
+		}
+		h := eras[len(eras)-1]
+		for n, w := range ws {
+			watch(n, len(h.changes))
+			check(w, &spec.Directory{Era: uint64(len(eras) - 1), Complete: uint64(len(h.changes))})
+		}
+	})
+}
+
 // A front whose list is a peer's gets changes from the platform that the list has already. They don't
 // undo later ones, for it nor for those that take its list over.
 func TestChangesBeforeListOfPeer(t *testing.T) {
@@ -113,3 +186,35 @@
 	checkIDs(t, b, time.Minute, "y")
 	checkIDs(t, c, time.Minute, "y")
 }
+
+// A front that has read the restored store keeps that list, though a peer still names a higher revision
+// of before. It names that revision too from then on, so that it doesn't fetch the peer's list again.
+func TestListOfEarlierEraIsNotAdopted(t *testing.T) {
+	before, after := roster.New(), roster.New()
+	before.ApplySnapshot(0, directory(10, "x"))
+	d := directory(5, "y")
+	d.Era, d.Complete = 1, 6
+	after.ApplySnapshot(0, d)
+	if after.AdoptPeer(0, 0, before.Directory(0)) || after.Revision() != 10 {
+		t.Errorf("adopted, or at revision %d", after.Revision())
+	}
+	checkIDs(t, after, time.Minute, "y")
+	after.Put(0, 11, &spec.Replica{Id: "z"})
+	if !before.AdoptPeer(0, 0, after.Directory(0)) {
+		t.Error("a list of a later era was not adopted")
+	}
+	checkIDs(t, before, time.Minute, "y", "z")
+}
+
+// A peer of an earlier build doesn't name the era of its list. Changes from the platform are applied to
+// it then, as the store may have been restored since.
+func TestChangesAfterListWithoutEra(t *testing.T) {
+	l := roster.New()
+	l.ApplySnapshot(0, directory(1, "x"))
+	l.AdoptPeer(0, 0, directory(5, "x", "y"))
+	l.Put(0, 3, &spec.Replica{Id: "z"})
+	checkIDs(t, l, time.Minute, "x", "y", "z")
+	if d := l.Directory(0); d.Complete != 0 || d.Era != 0 {
+		t.Errorf("the list is as of revision %d of era %d, want unknown", d.Complete, d.Era)
+	}
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -14,7 +14,9 @@
 //     OutageGrace, as live targets renew their entries in that time.
 //
 // A newer list from a peer replaces this front's. It marks the targets that are missing
-// and gives the time until the peer removes them.
+// and gives the time until the peer removes them. Changes that it has already are passed
+// over when the platform reports them to this front. The store may be restored from an
+// older copy and give out revisions again, so they are compared within an era only.
 //
 // # Usage
 //
@@ -27,6 +29,7 @@
 package roster
 
 import (
+	"cmp"
 	"sort"
 	"time"
 
@@ -63,10 +66,29 @@
 	return e.missing && (e.fromPeer || !l.unreachable) && now >= e.until
 }
 
+// stamp is a position in the platform's changes: a list as of a stamp has all of them.
+type stamp struct {
+	// era is the number of times that the platform's store was restored from an older copy.
+	// Revisions of different eras can't be compared.
+	era, revision uint64
+}
+
+// after reports whether s is later than o.
+func (s stamp) after(o stamp) bool {
+	return cmp.Or(cmp.Compare(s.era, o.era), cmp.Compare(s.revision, o.revision)) > 0
+}
+
 // List holds the targets that are known. It keeps the replicas that it is given, which
 // must not be changed afterwards. It is not safe for concurrent use.
 type List struct {
-	revision    uint64
+	revision uint64
+	// as is what the list is as of. That isn't known of lists of peers of earlier builds.
+	as      stamp
+	unknown bool
+	// read is the era of the last full list that the platform reported.
+	read uint64
+	// copied is the revision of that era up to which a peer's list has brought all changes.
+	copied      uint64
 	records     map[string]*record
 	unreachable bool
 	// settled is the end of the grace period after the last outage.
@@ -125,6 +147,15 @@
 	if d.Revision <= l.revision {
 		return false
 	}
+	l.revision = d.Revision
+	as, unknown := stamp{d.Era, d.Complete}, d.Complete == 0
+	if !unknown && !l.unknown && !as.after(l.as) {
+		return false // the revision is one of an earlier era, or this list was read after it
+	}
+	l.as, l.unknown, l.copied = as, unknown, 0
+	if as.era == l.read {
+		l.copied = as.revision
+	}
 	l.confirmed = max(l.confirmed, now-age)
 	old := l.records
 	l.records = map[string]*record{}
@@ -138,7 +169,6 @@
 			e.missing, e.fromPeer, e.until = true, true, now+time.Duration(r.VanishedMs)*time.Millisecond
 		}
 	}
-	l.revision = d.Revision
 	return true
 }
 
@@ -155,13 +185,26 @@
 		}
 	}
 	l.revision = max(l.revision, d.Revision)
+	l.as, l.unknown, l.read, l.copied = stamp{d.Era, max(d.Complete, d.Revision)}, false, d.Era, 0
 }
 
-// Put adds or replaces one target.
-func (l *List) Put(now time.Duration, revision uint64, r *spec.Replica) {
+// changed notes that the platform has reported a change, and reports whether the list lacks it.
+func (l *List) changed(now time.Duration, revision uint64) bool {
 	l.reached(now)
-	l.put(r)
 	l.revision = max(l.revision, revision)
+	if l.unknown || l.as.era != l.read {
+		l.as, l.unknown = stamp{}, true
+	} else {
+		l.as.revision = max(l.as.revision, revision)
+	}
+	return revision > l.copied
+}
+
+// Put adds or replaces one target.
+func (l *List) Put(now time.Duration, revision uint64, r *spec.Replica) {
+	if l.changed(now, revision) {
+		l.put(r)
+	}
 }
 
 func (l *List) put(r *spec.Replica) { l.records[r.Id] = &record{replica: r} }
@@ -169,9 +212,9 @@
 // Delete applies the removal of one entry. The target is kept for a grace period unless
 // it announced that it is leaving.
 func (l *List) Delete(now time.Duration, revision uint64, id string) {
-	l.reached(now)
-	l.drop(now, id)
-	l.revision = max(l.revision, revision)
+	if l.changed(now, revision) {
+		l.drop(now, id)
+	}
 }
 
 // drop removes a target that is leaving and marks any other as missing.
@@ -192,9 +235,9 @@
 // PutInvalid applies an entry whose value can't be decoded: the target is removed at
 // once.
 func (l *List) PutInvalid(now time.Duration, revision uint64, id string) {
-	l.reached(now)
-	delete(l.records, id)
-	l.revision = max(l.revision, revision)
+	if l.changed(now, revision) {
+		delete(l.records, id)
+	}
 }
 
 // NextExpiry returns when the next missing target is removed. It reports false if none
@@ -226,7 +269,7 @@
 // Directory returns the list for a peer. Missing targets are marked with the time until
 // they are removed, in milliseconds; during an outage, that is OutageGrace.
 func (l *List) Directory(now time.Duration) *spec.Directory {
-	d := &spec.Directory{Revision: l.revision}
+	d := &spec.Directory{Revision: l.revision, Era: l.as.era, Complete: l.as.revision}
 	for _, r := range l.Replicas(now) {
 		c := proto.CloneOf(r)
 		c.VanishedMs = 0
