internal/stand: a watch from a revision that the store lacks gets 410

Cause, by the front's log: the stand-in held a watch from revision 9 though it was restored to 4, and its head named the era in which the watch began. That watch ended at its timeout, 2.8 s after it began, and the next one, whose head names the new era, was held in turn; together they took more than the test's 5 s. A store answers a watch from a revision that it doesn't have with 410 at once.

The test and its limit are unchanged; the era without a 410 is covered by TestChangesOfARestoredStore.

--- a/internal/stand/store.go
+++ b/internal/stand/store.go
@@ -226,8 +226,8 @@
 	t := time.NewTimer(time.Duration(ms) * time.Millisecond)
 	defer t.Stop()
 	for {
-		es, at, compacted, changed := s.since(after, q.Get("prefix"))
-		if compacted {
+		es, at, gone, changed := s.since(after, q.Get("prefix"))
+		if gone {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
@@ -247,9 +247,9 @@
 }
 
 // since returns the changes after a revision to keys with a prefix, the current
-// revision, whether the store compacted some of those changes, and a channel that is
-// closed on the next change.
-func (s *Store) since(after uint64, prefix string) (es []storeItem, at uint64, compacted bool, changed <-chan struct{}) {
+// revision, whether the store lacks that revision or compacted some of those changes, and a
+// channel that is closed on the next change.
+func (s *Store) since(after uint64, prefix string) (es []storeItem, at uint64, gone bool, changed <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	es = []storeItem{}
@@ -258,5 +258,5 @@
 			es = append(es, e)
 		}
 	}
-	return es, s.revision, after < s.compacted, s.changed
+	return es, s.revision, after < s.compacted || after > s.revision, s.changed
 }
