io/front: no other target is asked once a silent one has answered or failed

Cause, by the front's log: the target was silent for 350 ms, a slot at the other one was reserved, and before that was recorded the first one failed. So the request wasn't moved, the attempts to move it were ended, and yet the other target was sent the request, with a context that had ended. That used the last attempt: 1 ms later the request was refused as failed.

Now it is recorded that a target is being asked as soon as it is reserved, and only while the silence lasts. Otherwise the slot is released before any retry is taken, and the request is sent again as any other.

Ruled out: a stop of the process (it would have been excused), and the deadline (549 ms were left).

Measured: TestSilentTargetFailsBeforeAnotherIsAsked fails in all three cases without the comparison in ask, and passes with it.

--- a/io/front/takeover.go
+++ b/io/front/takeover.go
@@ -144,11 +144,17 @@
 	t.stop()
 }
 
-// ask records that a target is being asked to take the request over.
-func (t *takeover) ask() {
+// ask records that a target is being asked to take the request over. It returns false if the
+// silence, whose context is ctx, is over. A failed request is then sent again as any other: a target
+// that were asked now would be left at once, and no attempt might remain for it.
+func (t *takeover) ask(ctx context.Context) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.ended || ctx.Err() != nil {
+		return false
+	}
 	t.opening = true
+	return true
 }
 
 // answer records that n has taken the request over, or that f has failed to.
@@ -240,7 +246,6 @@
 		}
 	})
 	stop := context.AfterFunc(ctx, func() { n.cancel(errSilenceEnded) })
-	t.ask()
 	v := n.open()
 	k.Stop()
 	if n.opened && stop() && e.leave(s) {
@@ -266,7 +271,8 @@
 	return true
 }
 
-// reserve waits for a slot at another target and takes a retry from the budget.
+// reserve waits for a slot at another target, which is being asked from then on, and takes a retry
+// from the budget.
 func (e *exchange) reserve(ctx context.Context, s silence) (grant, error) {
 	q := e.request
 	if !actor.Ask(q.front.loop, func(now time.Duration, s *state) bool { return s.budget.Remaining(now, q.service) >= 1 }) {
@@ -289,7 +295,12 @@
 	if g.err != nil {
 		return grant{}, g.err
 	}
+	if !e.takeover.ask(ctx) {
+		q.release(g.choice, q.service)
+		return grant{}, errSilenceEnded
+	}
 	if !q.takeRetry(errStalled, []string{e.choice.ID}) {
+		e.takeover.answer(nil)
 		q.release(g.choice, q.service)
 		return grant{}, errNoRetryBudget
 	}
