--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -30,6 +30,8 @@
 	"math"
 	"net"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -49,6 +51,13 @@
 // ErrHeadTooLong reports a response whose head doesn't end within its bounds.
 var ErrHeadTooLong = errors.New("head of the response is too long")
 
+// ErrJoined reports a response whose head has the first line of another one within a line. One of the two
+// was cut off, and which lines belong to which is unknown.
+var ErrJoined = errors.New("head of a response within that of another")
+
+// statusLine is the first line of a response as far as its reason.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( |$)`)
+
 // Bounds of connections.
 const (
 	// connectTimeout is many times the round trip between data centres, and short
@@ -392,7 +401,8 @@
 // Receive reads the status and headers of the response to a request with the given
 // method. Interim responses (1xx) are skipped. The body is read from the connection.
 // It fails with an error that wraps ErrHeadTooLong if the head doesn't end within its bounds:
-// a faulty target may send bytes for as long as they are read.
+// a faulty target may send bytes for as long as they are read. It fails with one that wraps ErrJoined
+// if a response that was cut off in its head and the one after it read as one.
 func (c *Conn) Receive(method string) (*http.Response, error) {
 	q := &http.Request{Method: method}
 	c.source.left = maxHead
@@ -401,6 +411,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
+		if joined(a) {
+			return nil, fmt.Errorf("read response: %w", ErrJoined)
+		}
 		if a.StatusCode >= http.StatusOK {
 			c.source.left = unlimited
 			return a, nil
@@ -409,6 +422,19 @@
 	return nil, fmt.Errorf("read response: %d interim responses: %w", maxInterim+1, ErrHeadTooLong)
 }
 
+// joined reports whether the first line of another response is within a line of the head.
+func joined(a *http.Response) bool {
+	if statusLine.MatchString(a.Status) {
+		return true
+	}
+	for _, vs := range a.Header {
+		if slices.ContainsFunc(vs, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // Close closes the connection, which the target takes as a cancellation. Its error is
 // ignored: the connection is unusable either way.
 func (c *Conn) Close() { _ = c.net.Close() }
