io/front: a target that refused to take a request over isn't asked again

Targets: the same request twice. One that refused to take a stream over from a silent target got it once more when the target that had taken it over fell silent, too. If it then wrote its refusal once more, with the same id, before the stream, the stream was cut (a trial of the review).

Cause: the exchange with the target that takes over excludes that one and those excluded before the takeover began, but not those that had failed to take over meanwhile. Requests that are sent again after a failure do exclude them. Both use the same list now.

Ruled out: requests that may not be repeated, which are never moved.

--- a/io/front/takeover.go
+++ b/io/front/takeover.go
@@ -234,7 +234,7 @@
 	n := q.newExchange(e.parent, g.choice, s.at, e.sends+1)
 	n.continues = e.continues || s.received > 0
 	n.criteria = e.criteria
-	n.criteria.Exclude = append(slices.Clone(e.criteria.Exclude), n.choice.ID)
+	n.criteria.Exclude = append(e.excluded(), n.choice.ID)
 	n.second = true
 	// If the other target falls silent, too, a third one is asked instead. Without a further
 	// attempt, either of the two may still answer.
@@ -271,6 +271,15 @@
 	return true
 }
 
+// excluded returns the targets that have had the request, or refused it.
+func (e *exchange) excluded() []string {
+	ids := slices.Clone(e.criteria.Exclude)
+	for _, f := range e.takeover.failures() {
+		ids = append(ids, f.exchange.choice.ID)
+	}
+	return ids
+}
+
 // reserve waits for a slot at another target, which is being asked from then on, and takes a retry
 // from the budget.
 func (e *exchange) reserve(ctx context.Context, s silence) (grant, error) {
@@ -279,7 +288,7 @@
 		return grant{}, errNoRetryBudget
 	}
 	c := e.criteria
-	c.Exclude = slices.Clone(c.Exclude)
+	c.Exclude = e.excluded()
 	c.TimeLeft = time.Until(q.deadline)
 	limit := c.TimeLeft
 	if q.route.Kind == plan.Stream {
@@ -288,9 +297,6 @@
 			c.Pinned, c.Version = true, e.choice.Version
 		}
 	}
-	for _, f := range e.takeover.failures() {
-		c.Exclude = append(c.Exclude, f.exchange.choice.ID)
-	}
 	g := q.acquire(ctx, c, limit)
 	if g.err != nil {
 		return grant{}, g.err
