--- a/io/front/list_test.go
+++ b/io/front/list_test.go
@@ -73,6 +73,29 @@
 	}
 }
 
+// Guards against a front that answers nothing while it reads many odd entries: an odd entry of a target that
+// it doesn't know changes nothing, so that the list isn't applied again for each.
+func TestOddEntriesOfUnknownTargetsCostLittle(t *testing.T) {
+	f := sharingFront(t, false)
+	f.ReplaceTargets(&spec.Directory{Revision: 1, Replicas: []*spec.Replica{listedTarget(1, "v1")}})
+	applied := func() time.Duration {
+		return actor.Ask(f.loop, func(_ time.Duration, s *state) time.Duration { return s.listApplied })
+	}
+	before := applied()
+	time.Sleep(2 * listInterval)
+	for i := range 100 {
+		f.InvalidTarget(uint64(i+2), fmt.Sprint("odd-", i), errors.New("unreadable"))
+	}
+	f.ConfirmTargets(Position{Revision: 101})
+	if at := applied(); at != before {
+		t.Errorf("the list was applied at %v, and again until %v", before, at)
+	}
+	f.InvalidTarget(102, "i-1", errors.New("unreadable"))
+	if ids := usable(f); len(ids) > 0 {
+		t.Errorf("the front uses %v, want none", ids)
+	}
+}
+
 // Guards against versions that are forgotten as they are listed and gone within one series of changes:
 // other fronts may have begun streams at them.
 func TestVersionOfOneSeriesOfChangesIsKept(t *testing.T) {
