--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -190,11 +190,13 @@
 }
 
 // PutInvalid applies an entry whose value can't be decoded: the target is removed at
-// once.
-func (l *List) PutInvalid(now time.Duration, revision uint64, id string) {
+// once. It reports whether the target was known.
+func (l *List) PutInvalid(now time.Duration, revision uint64, id string) bool {
 	l.reached(now)
+	_, known := l.records[id]
 	delete(l.records, id)
 	l.revision = max(l.revision, revision)
+	return known
 }
 
 // NextExpiry returns when the next missing target is removed. It reports false if none
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -246,13 +246,18 @@
 	f.loop.Post(func(now time.Duration, s *state) {
 		f.reconnected(now, s)
 		c(now, s)
-		s.listChanged = true
-		if s.listed <= shortList || now-s.listApplied >= listInterval {
-			f.applyChanges(now, s)
-		}
+		f.listHasChanged(now, s)
 	})
 }
 
+// listHasChanged applies a change of the list, if it is time to.
+func (f *Front) listHasChanged(now time.Duration, s *state) {
+	s.listChanged = true
+	if s.listed <= shortList || now-s.listApplied >= listInterval {
+		f.applyChanges(now, s)
+	}
+}
+
 // applyChanges applies the changes of the target list that are not applied yet.
 func (f *Front) applyChanges(now time.Duration, s *state) {
 	if s.listChanged {
@@ -338,11 +343,15 @@
 	})
 }
 
-// InvalidTarget implements Sink.
+// InvalidTarget implements Sink. The entry of a target that isn't known changes nothing: there may be many
+// of them, and applying the list for each would keep the control loop busy for long.
 func (f *Front) InvalidTarget(revision uint64, id string, err error) {
-	f.updateList(func(now time.Duration, s *state) {
-		s.roster.PutInvalid(now, revision, id)
+	f.loop.Post(func(now time.Duration, s *state) {
+		f.reconnected(now, s)
 		f.logInvalid(revision, id, err, fromPlatform)
+		if s.roster.PutInvalid(now, revision, id) {
+			f.listHasChanged(now, s)
+		}
 	})
 }
 
