--- a/io/front/list_test.go
+++ b/io/front/list_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"kingcupstand/core/origin"
+	"kingcupstand/core/roster"
 	"kingcupstand/io/actor"
 	"kingcupstand/schema/spec"
 )
@@ -73,6 +74,24 @@
 	}
 }
 
+// Guards against a front that goes on for good with a target that is gone: its entry went missing just before
+// an outage of the platform, and the list doesn't change afterwards.
+func TestMissingTargetIsDroppedAfterOutage(t *testing.T) {
+	f := sharingFront(t, false)
+	f.ReplaceTargets(&spec.Directory{Revision: 1, Replicas: []*spec.Replica{listedTarget(1, "v1"), listedTarget(2, "v1")}})
+	f.RemoveTarget(2, "i-1")
+	f.Disconnected(errors.New("unavailable"))
+	time.Sleep(roster.MissingGrace + 100*time.Millisecond)
+	if ids := usable(f); len(ids) != 2 {
+		t.Fatalf("the front uses %v during the outage, want both targets", ids)
+	}
+	f.ConfirmTargets(Position{Revision: 2})
+	time.Sleep(roster.OutageGrace + 200*time.Millisecond)
+	if ids := usable(f); !slices.Equal(ids, []string{"i-2"}) {
+		t.Errorf("the front uses %v after the outage, want i-2", ids)
+	}
+}
+
 // Guards against a front that answers nothing while it reads many odd entries: an odd entry of a target that
 // it doesn't know changes nothing, so that the list isn't applied again for each.
 func TestOddEntriesOfUnknownTargetsCostLittle(t *testing.T) {
