--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -103,7 +103,7 @@
 		}
 		for _, e := range l.records {
 			if e.missing && !e.fromPeer {
-				e.until = max(now, l.settled)
+				e.until = max(now, e.until, l.settled)
 			}
 		}
 	}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -44,6 +44,18 @@
 	checkIDs(t, l, time.Second+roster.MissingGrace, "a")
 }
 
+// Guards against a target that is dropped before its grace has passed, as one call to the platform failed
+// meanwhile.
+func TestShortOutageKeepsGrace(t *testing.T) {
+	l := roster.New()
+	l.ApplySnapshot(0, directory(1, "a", "b"))
+	l.Delete(time.Second, 2, "b")
+	l.PlatformDown()
+	l.Confirm(time.Second + roster.MissingGrace/4)
+	checkIDs(t, l, time.Second+roster.MissingGrace-1, "a", "b")
+	checkIDs(t, l, time.Second+roster.MissingGrace, "a")
+}
+
 func TestLeavingTargetIsRemovedAtOnce(t *testing.T) {
 	l := roster.New()
 	l.Put(0, 1, &spec.Replica{Id: "a", Leaving: true})
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -376,6 +376,7 @@
 		return
 	}
 	s.disconnected = false
+	s.listChanged = true // targets that were missing meanwhile expire from now on
 	f.telem.Log.Info("dependency regained", "dependency", "platform", "plan", s.plan.Revision(), "list-age-ms", s.roster.Age(now).Milliseconds())
 }
 
