--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -231,7 +231,7 @@
 		services: map[string]*Service{},
 		limits: Limits{
 			HeaderBytes:   int(d.GetLimits().GetHeaderBytes()),
-			BodyBytes:     int64(d.GetLimits().GetBodyBytes()),
+			BodyBytes:     int64(min(d.GetLimits().GetBodyBytes(), maxBodyBytes)),
 			HeaderTimeout: milliseconds(d.GetLimits().GetHeaderTimeoutMs()),
 			IdleTimeout:   milliseconds(d.GetLimits().GetIdleTimeoutMs()),
 		},
@@ -248,6 +248,10 @@
 
 func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
 
+// maxBodyBytes is the largest limit of a request's body that is used. Larger ones are reduced to it:
+// readers add to it.
+const maxBodyBytes = 1 << 40
+
 // maxAmount is the largest rate, burst or weight that is used. Larger ones are reduced to it: sums
 // and products of them must be finite, and fit into heartbeats.
 const maxAmount = 1e12
