--- a/io/front/send.go
+++ b/io/front/send.go
@@ -339,6 +339,9 @@
 	if r.NotRun {
 		return e.handleNotRun(a)
 	}
+	if r.ID == "" && !r.HasReceipt { // of a server that is no target
+		return result{sent: true, mayHaveRun: true, err: errNoReceipt}
+	}
 	success := a.StatusCode >= http.StatusOK && a.StatusCode < http.StatusMultipleChoices
 	proved := r.HasReceipt && r.ID != ""
 	if refusals[a.StatusCode] && !proved {
