--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -125,7 +125,7 @@
 		}
 		for _, e := range l.records {
 			if e.missing && !e.fromPeer {
-				e.until = max(now, l.settled)
+				e.until = max(now, e.until, l.settled)
 			}
 		}
 	}
@@ -233,11 +233,14 @@
 }
 
 // PutInvalid applies an entry whose value can't be decoded: the target is removed at
-// once.
-func (l *List) PutInvalid(now time.Duration, revision uint64, id string) {
-	if l.changed(now, revision) {
-		delete(l.records, id)
+// once. It reports whether the target was known.
+func (l *List) PutInvalid(now time.Duration, revision uint64, id string) bool {
+	if !l.changed(now, revision) {
+		return false
 	}
+	_, known := l.records[id]
+	delete(l.records, id)
+	return known
 }
 
 // NextExpiry returns when the next missing target is removed. It reports false if none
