core/roster: changes without a revision are applied, lists before own changes refused

Callers: none seen. A change whose entry has no readable revision was passed over always: a target whose entry can't be read any more stayed in use, a new one wasn't used. And beside fronts of an earlier build: a front that had taken over a list of such a front took over a list that lacked changes which its own watch had brought already. They didn't come again, and from then on it named a revision up to which it didn't have all changes.

Cause: a revision of 0 isn't above that up to which a peer's list is complete, 0 if there is none. And a front whose list is as of an unknown revision took any list over that names one. Now what its own watch has brought is kept apart; lists that are as of before are refused.

Ruled out: refusing lists as of just that revision, which mend a list of an earlier build.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -85,8 +85,9 @@
 	// as is what the list is as of. That isn't known of lists of peers of earlier builds.
 	as      stamp
 	unknown bool
-	// read is the era of the last full list that the platform reported.
-	read uint64
+	// seen is up to where the platform has reported all changes to this front: its era is that of
+	// the last full list.
+	seen stamp
 	// copied is the revision of that era up to which a peer's list has brought all changes.
 	copied      uint64
 	records     map[string]*record
@@ -149,11 +150,15 @@
 	}
 	l.revision = d.Revision
 	as, unknown := stamp{d.Era, d.Complete}, d.Complete == 0
-	if !unknown && !l.unknown && !as.after(l.as) {
+	later := as.after(l.as)
+	if l.unknown {
+		later = !l.seen.after(as) // changes up to there don't come again
+	}
+	if !unknown && !later {
 		return false // the revision is one of an earlier era, or this list was read after it
 	}
 	l.as, l.unknown, l.copied = as, unknown, 0
-	if as.era == l.read {
+	if as.era == l.seen.era {
 		l.copied = as.revision
 	}
 	l.confirmed = max(l.confirmed, now-age)
@@ -185,19 +190,22 @@
 		}
 	}
 	l.revision = max(l.revision, d.Revision)
-	l.as, l.unknown, l.read, l.copied = stamp{d.Era, max(d.Complete, d.Revision)}, false, d.Era, 0
+	l.as, l.unknown, l.copied = stamp{d.Era, max(d.Complete, d.Revision)}, false, 0
+	l.seen = l.as
 }
 
 // changed notes that the platform has reported a change, and reports whether the list lacks it.
+// It counts as lacking a change whose revision isn't known (0).
 func (l *List) changed(now time.Duration, revision uint64) bool {
 	l.reached(now)
 	l.revision = max(l.revision, revision)
-	if l.unknown || l.as.era != l.read {
+	l.seen.revision = max(l.seen.revision, revision)
+	if l.unknown || l.as.era != l.seen.era {
 		l.as, l.unknown = stamp{}, true
 	} else {
 		l.as.revision = max(l.as.revision, revision)
 	}
-	return revision > l.copied
+	return revision == 0 || revision > l.copied
 }
 
 // Put adds or replaces one target.
