--- a/io/front/takeover.go
+++ b/io/front/takeover.go
@@ -144,11 +144,17 @@
 	t.stop()
 }
 
-// ask records that a target is being asked to take the request over.
-func (t *takeover) ask() {
+// ask records that a target is being asked to take the request over. It returns false if the
+// silence, whose context is ctx, is over. A failed request is then sent again as any other: a target
+// that were asked now would be left at once, and no attempt might remain for it.
+func (t *takeover) ask(ctx context.Context) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.ended || ctx.Err() != nil {
+		return false
+	}
 	t.opening = true
+	return true
 }
 
 // answer records that n has taken the request over, or that f has failed to.
@@ -228,7 +234,7 @@
 	n := q.newExchange(e.parent, g.choice, s.at, e.sends+1)
 	n.continues = e.continues || s.received > 0
 	n.criteria = e.criteria
-	n.criteria.Exclude = append(slices.Clone(e.criteria.Exclude), n.choice.ID)
+	n.criteria.Exclude = append(e.excluded(), n.choice.ID)
 	n.second = true
 	// If the other target falls silent, too, a third one is asked instead. Without a further
 	// attempt, either of the two may still answer.
@@ -240,7 +246,6 @@
 		}
 	})
 	stop := context.AfterFunc(ctx, func() { n.cancel(errSilenceEnded) })
-	t.ask()
 	v := n.open()
 	k.Stop()
 	if n.opened && stop() && e.leave(s) {
@@ -266,14 +271,24 @@
 	return true
 }
 
-// reserve waits for a slot at another target and takes a retry from the budget.
+// excluded returns the targets that have had the request, or refused it.
+func (e *exchange) excluded() []string {
+	ids := slices.Clone(e.criteria.Exclude)
+	for _, f := range e.takeover.failures() {
+		ids = append(ids, f.exchange.choice.ID)
+	}
+	return ids
+}
+
+// reserve waits for a slot at another target, which is being asked from then on, and takes a retry
+// from the budget.
 func (e *exchange) reserve(ctx context.Context, s silence) (grant, error) {
 	q := e.request
 	if !actor.Ask(q.front.loop, func(now time.Duration, s *state) bool { return s.budget.Remaining(now, q.service) >= 1 }) {
 		return grant{}, errNoRetryBudget
 	}
 	c := e.criteria
-	c.Exclude = slices.Clone(c.Exclude)
+	c.Exclude = e.excluded()
 	c.TimeLeft = time.Until(q.deadline)
 	limit := c.TimeLeft
 	if q.route.Kind == plan.Stream {
@@ -282,14 +297,16 @@
 			c.Pinned, c.Version = true, e.choice.Version
 		}
 	}
-	for _, f := range e.takeover.failures() {
-		c.Exclude = append(c.Exclude, f.exchange.choice.ID)
-	}
 	g := q.acquire(ctx, c, limit)
 	if g.err != nil {
 		return grant{}, g.err
 	}
+	if !e.takeover.ask(ctx) {
+		q.release(g.choice, q.service)
+		return grant{}, errSilenceEnded
+	}
 	if !q.takeRetry(errStalled, []string{e.choice.ID}) {
+		e.takeover.answer(nil)
 		q.release(g.choice, q.service)
 		return grant{}, errNoRetryBudget
 	}
