--- a/io/front/send_test.go
+++ b/io/front/send_test.go
@@ -45,3 +45,25 @@
 	}
 	e.conn.Close()
 }
+
+// Guards against a sound target that is suspended because a caller left, or a silent target went on, before
+// there was a connection; and against one that can't be reached, whose callers all leave before that is
+// known, and is never suspended.
+func TestEndBeforeConnectionIsNotTheTargets(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for after, want := range map[time.Duration]pool.Outcome{0: pool.Neutral, 100 * time.Millisecond: pool.Unreachable} {
+		for _, cause := range []error{errDisconnected, errSilenceEnded, errTimeout} {
+			ctx, cancel := context.WithCancelCause(context.Background())
+			cancel(cause)
+			q := &request{front: &Front{dialer: dial.New(logr.Discard())}, http: &http.Request{}, route: &plan.Route{}}
+			e := &exchange{request: q, choice: pool.Choice{ID: "t-1", Address: l.Addr().String()}, ctx: ctx, started: time.Now().Add(-after)}
+			if v := e.send(); v.sent || v.err == nil || e.outcome != want {
+				t.Errorf("%v after %v: got %+v, outcome %v, want %v", cause, after, v, e.outcome, want)
+			}
+		}
+	}
+}
