io/front, platform: the request's id reaches the target also if the caller's Connection header names it

Callers: 502, or 504 after the route's time, for requests with "Connection: Attempt-Id"; the targets run them without an id, as do those of requests that may not be repeated. On a kept connection the answer without an id is skipped and the target counts as silent, on a new one as broken: it is suspended, also for other callers, one target after the other.

Cause: headers that Connection names are removed, and the id was only passed on with the others. The codec sets it now, as it does the other headers that targets need. Two headers with different ids become the first one, by which the front knows the request.

Ruled out: that brought it; answers without an id were unused before, except for some failures on new connections (read only).

--- a/io/front/codec.go
+++ b/io/front/codec.go
@@ -39,6 +39,8 @@
 // Dispatch is the decoded form of the headers that are added when a request is
 // dispatched to a target.
 type Dispatch struct {
+	// ID is the id of the request; "" for a call of the front itself.
+	ID string
 	// Target is the id of the target; any other process must refuse the request.
 	Target string
 	// Timeout is how long the front will wait for the response.
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -263,6 +263,7 @@
 	}
 	h := endToEnd(q.http.Header)
 	q.front.codec.EncodeDispatch(h, Dispatch{
+		ID:          q.call.ID,
 		Target:      e.choice.ID,
 		Timeout:     time.Until(q.deadline),
 		Workspace:   q.workspaceName(),
