io/front: a target isn't suspended because its request ended before there was a connection

Callers: none seen. A sound target without an idle connection is suspended if a caller leaves, or a silent target goes on, before a connection to it is open; if there is none left for others, these go one by one to suspended targets.

Cause: opening a connection fails then, which counted as a target that can't be reached.

Ruled out: never blaming the target then. One that is cut off would never be suspended if its callers all give up before the 200 ms that opening a connection may take; after 50 ms it still is. A silence that ends an exchange (errStalled) lasts longer than that with the defaults of the estimate (read only).

--- a/io/front/send.go
+++ b/io/front/send.go
@@ -38,6 +38,9 @@
 	callerStallTimeout = 2 * time.Second
 	// failoverMargin is kept for a dispatch to another target before callers give up.
 	failoverMargin = 600 * time.Millisecond
+	// minConnect is the time after which a target that has not accepted a connection is to blame, also
+	// if the request was canceled meanwhile. It is many times the round trip between data centres.
+	minConnect = 50 * time.Millisecond
 )
 
 var (
@@ -249,6 +252,9 @@
 	var err error
 	if e.conn, err = q.front.dialer.Get(e.ctx, e.choice.Address, limit); err != nil {
 		e.outcome = pool.Unreachable
+		if e.ctx.Err() != nil && time.Since(e.started) < minConnect {
+			e.outcome = pool.Neutral // canceled before the target could accept
+		}
 		return result{err: err}
 	}
 	e.detach = context.AfterFunc(e.ctx, e.conn.Close)
