io/dial: two heads that read as one are an error also where the first is cut off in its header Trailer

Callers: none seen. As in, a request that runs would be answered as not run.

Cause: of a response in chunks, net/http removes the header Trailer, the value of which then didn't see.

Ruled out: Transfer-Encoding, which is removed as well: other values than chunked are errors of net/http (read only).

Measured: TestCutHead fails before (one run) and passes (three runs), TestCutHeadIsNotJoinedToTheNext passes (one run).

--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -430,6 +430,11 @@
 	if statusLine.MatchString(a.Status) {
 		return true
 	}
+	for n := range a.Trailer { // named in a header that ReadResponse removes
+		if statusLine.MatchString(n) {
+			return true
+		}
+	}
 	for _, vs := range a.Header {
 		for _, v := range vs {
 			if slices.ContainsFunc(statusLine.FindAllString(v, -1), func(l string) bool { return !contains(sent, l) }) {
