--- a/io/front/plain.go
+++ b/io/front/plain.go
@@ -107,18 +107,22 @@
 	return result{done: true}
 }
 
-// copyRest forwards the part of the response that was not read into the buffer.
+// copyRest forwards the part of the response that was not read into the buffer. The caller also gets
+// all of one that the target breaks off.
 func (e *exchange) copyRest() error {
-	n, err := io.Copy(e.request.writer, io.LimitReader(e.response.Body, maxBody-maxBuffered))
+	w := e.request.writer
+	n, err := io.Copy(w, io.LimitReader(e.response.Body, maxBody-maxBuffered))
 	switch {
 	case err != nil:
-		return err
 	case n == maxBody-maxBuffered:
-		return errBodyTooLong
+		err = errBodyTooLong
 	case e.cutOff(e.response):
-		return errCutOff
+		err = errCutOff
 	}
-	return nil
+	if err != nil {
+		err = errors.Join(err, http.NewResponseController(w).Flush()) // the connection is closed without
+	}
+	return err
 }
 
 // response is a target's response that is not streamed.
