--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -24,6 +24,7 @@
 package origin
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -86,6 +87,16 @@
 	versions map[string]version
 }
 
+// listed reports whether any target of the service is listed.
+func (s *service) listed() bool {
+	for _, v := range s.versions {
+		if v.listed {
+			return true
+		}
+	}
+	return false
+}
+
 // unreported is a record that peers are still to be told.
 type unreported struct {
 	Stream
@@ -199,6 +210,12 @@
 	}
 }
 
+// DropServices drops what is known of the services without listed targets that aren't used: others may
+// list targets of any number of services.
+func (t *Table) DropServices(used func(name string) bool) {
+	maps.DeleteFunc(t.services, func(name string, s *service) bool { return !s.listed() && !used(name) })
+}
+
 // Interrupt notes that changes of the list of targets may have been missed until now, so that
 // versions may have been listed that this front has not seen.
 func (t *Table) Interrupt(now time.Duration) {
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -156,7 +156,9 @@
 	keys       map[[sha256.Size]byte]*Workspace
 	workspaces []*Workspace
 	services   map[string]*Service
-	limits     Limits
+	// used holds the names of the services and those that routes send requests to.
+	used   map[string]bool
+	limits Limits
 }
 
 // LongestStream returns the longest timeout of the streaming routes; 0 if there are none.
@@ -229,6 +231,7 @@
 		hosts:    map[string][]*Route{},
 		keys:     map[[sha256.Size]byte]*Workspace{},
 		services: map[string]*Service{},
+		used:     map[string]bool{},
 		limits: Limits{
 			HeaderBytes:   int(d.GetLimits().GetHeaderBytes()),
 			BodyBytes:     int64(min(d.GetLimits().GetBodyBytes(), maxBodyBytes)),
@@ -266,6 +269,7 @@
 
 func (p *Plan) addServices(ss []*spec.PlanService) {
 	for _, s := range ss {
+		p.used[s.Name] = true
 		p.services[s.Name] = &Service{
 			Name:         s.Name,
 			Connections:  int(s.Connections),
@@ -284,6 +288,9 @@
 			return fmt.Errorf("route %q: %w", d.Name, err)
 		}
 		p.hosts[r.Host] = append(p.hosts[r.Host], r)
+		for _, s := range r.splits {
+			p.used[s.service] = true
+		}
 	}
 	for _, l := range p.hosts {
 		sort.SliceStable(l, func(i, j int) bool { return len(l[i].Prefix) > len(l[j].Prefix) })
@@ -380,6 +387,9 @@
 // Service returns the service of a name, or nil if the plan has none.
 func (p *Plan) Service(name string) *Service { return p.services[name] }
 
+// Uses reports whether the plan has a service, or a route that sends requests to it.
+func (p *Plan) Uses(service string) bool { return p.used[service] }
+
 // Route returns the route of a host, with or without a port, and an undecoded path: the
 // one with the longest prefix of the path.
 func (p *Plan) Route(host, path string) (*Route, bool) {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -80,6 +80,7 @@
 import (
 	"errors"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -243,6 +244,14 @@
 	}
 }
 
+// DropServices drops what was learned of the services without targets that aren't used.
+func (p *Pool) DropServices(used func(name string) bool) {
+	maps.DeleteFunc(p.estimators, func(name string, _ *estimator) bool { return !p.HasTargets(name) && !used(name) })
+}
+
+// HasTargets reports whether a service has any target.
+func (p *Pool) HasTargets(service string) bool { return len(p.byService[service]) > 0 }
+
 // Begin records that a request with the given number of prompt tokens is sent to a
 // target. Each call is followed by one of End. Begin, End and the methods that record
 // observations ignore a target that is not in the pool.
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -190,6 +190,18 @@
 	return q
 }
 
+// DropServices drops the queues of the services without targets and queued requests that aren't used,
+// and returns the names of these services.
+func (s *Scheduler[T]) DropServices(used func(name string) bool) (dropped []string) {
+	for name, q := range s.queues {
+		if q.waiters.Len() == 0 && !s.pool.HasTargets(name) && !used(name) {
+			delete(s.queues, name)
+			dropped = append(dropped, name)
+		}
+	}
+	return dropped
+}
+
 // Enqueue adds a request to the queue of its service. The caller then calls Next,
 // which may dispatch the request at once, and Shed if it did not.
 func (s *Scheduler[T]) Enqueue(now time.Duration, r Request, v T) *Waiter[T] {
--- a/io/front/list_test.go
+++ b/io/front/list_test.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"kingcupstand/core/origin"
+	"kingcupstand/core/pool"
 	"kingcupstand/core/roster"
+	"kingcupstand/core/sched"
 	"kingcupstand/io/actor"
 	"kingcupstand/schema/spec"
 )
@@ -162,3 +164,38 @@
 		})
 	}
 }
+
+// Guards against a front that grows, and takes longer for each change, while an entry names a new service with
+// each: the records of a service without targets, routes or queued requests go.
+func TestServicesThatAreGoneAreForgotten(t *testing.T) {
+	f := sharingFront(t, false)
+	f.SetPlan(&spec.Plan{Revision: 2, Services: []*spec.PlanService{{Name: "llm"}}})
+	odd := listedTarget(2, "v1")
+	odd.Service = "odd"
+	f.ReplaceTargets(&spec.Directory{Revision: 1, Replicas: []*spec.Replica{listedTarget(1, "v1"), odd}})
+	w := actor.Ask(f.loop, func(now time.Duration, s *state) *sched.Waiter[*pending] {
+		s.sched.Enqueue(now, sched.Request{Criteria: pool.Criteria{Service: "llm"}}, &pending{granted: make(chan grant, 1)})
+		return s.sched.Enqueue(now, sched.Request{Criteria: pool.Criteria{Service: "odd", Version: "v2", Pinned: true}}, &pending{granted: make(chan grant, 1)})
+	})
+	time.Sleep(2 * listInterval)
+	f.PutTarget(2, listedTarget(2, "v1")) // i-2 is of another service now
+	known := func() (services []string, versions string) {
+		actor.Ask(f.loop, func(_ time.Duration, s *state) bool {
+			services = s.sched.Services()
+			for _, n := range []string{"llm", "odd"} {
+				v, _ := s.origins.Only(s.listApplied+origin.ListLag, n, 0)
+				versions += n + " " + v + ","
+			}
+			return true
+		})
+		return services, versions
+	}
+	if ss, vs := known(); !slices.Equal(ss, []string{"llm", "odd"}) || vs != "llm v1,odd ," {
+		t.Errorf("got queues of %v, versions %q, want queues of both services, versions of llm alone", ss, vs)
+	}
+	f.loop.Post(func(now time.Duration, s *state) { s.sched.Remove(now, w) })
+	f.PutTarget(3, listedTarget(3, "v1"))
+	if ss, _ := known(); !slices.Equal(ss, []string{"llm"}) {
+		t.Errorf("got queues of %v, want llm", ss)
+	}
+}
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -212,6 +212,11 @@
 	f.withholdTargets(now, s)
 	f.rejectDrained(now, s)
 	s.origins.SetVersions(now, versions)
+	s.origins.DropServices(s.plan.Uses)
+	s.pool.DropServices(s.plan.Uses)
+	for _, name := range s.sched.DropServices(s.plan.Uses) {
+		f.meter.recordLoad(name, pool.Load{}, 0, 0)
+	}
 	if len(ts) > 0 && s.listedSince == 0 {
 		s.listedSince = now
 	}
