--- a/core/conf/document.go
+++ b/core/conf/document.go
@@ -19,6 +19,10 @@
 	overloadWait   = "wait"
 )
 
+// maxRevision is the highest revision of a document: none would be later than a higher one. JSON numbers
+// are exact only up to it.
+const maxRevision = 1 << 53
+
 // shareTolerance is the tolerated rounding error in the sum of shares.
 const shareTolerance = 1e-9
 
@@ -80,6 +84,9 @@
 	if d.Revision == 0 {
 		p.add("revision", "expected a number above 0")
 	}
+	if d.Revision > maxRevision {
+		p.add("revision", "expected at most %d", uint64(maxRevision))
+	}
 	tiers := p.tiers(d.Tiers)
 	models := p.names("models", d.Models)
 	services := p.names("services", d.Services)
--- a/core/conf/holder_test.go
+++ b/core/conf/holder_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -106,3 +107,15 @@
 		}
 	})
 }
+
+// Guards against processes that accept no further configuration after one with the highest revision that can
+// be written.
+func TestHighestRevisionEndsNoChanges(t *testing.T) {
+	h := conf.NewHolder()
+	if _, err := h.Accept(document(math.MaxInt64, 1, false)); !errors.Is(err, conf.ErrRejected) {
+		t.Errorf("got error %v, want ErrRejected", err)
+	}
+	if ok, err := h.Accept(document(3, 1, false)); !ok || err != nil {
+		t.Errorf("revision 3: got %v, error %v, want it accepted", ok, err)
+	}
+}
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -30,6 +30,10 @@
 // ErrInvalid is wrapped by errors about a document that is not a valid plan.
 var ErrInvalid = errors.New("invalid plan")
 
+// MaxRevision is the highest revision of a plan. Of a higher one it isn't certain that a later one can be
+// written: JSON numbers are exact only up to it.
+const MaxRevision = 1 << 53
+
 // Kind is a route's kind of requests. It decides which requests may be retried after
 // they may have run.
 type Kind string
@@ -221,6 +225,9 @@
 	if d.Revision == 0 {
 		return nil, fmt.Errorf("%w: revision must be above 0", ErrInvalid)
 	}
+	if d.Revision > MaxRevision {
+		return nil, fmt.Errorf("%w: revision must be at most %d", ErrInvalid, uint64(MaxRevision))
+	}
 	t, err := proto.Marshal(d)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -78,6 +78,7 @@
 func TestNewRejectsInvalidDocuments(t *testing.T) {
 	for name, edit := range map[string]func(*spec.Plan){
 		"no revision":                  func(d *spec.Plan) { d.Revision = 0 },
+		"no later revision":            func(d *spec.Plan) { d.Revision = math.MaxUint64 },
 		"unknown kind":                 func(d *spec.Plan) { d.Routes[0].Kind = "sometimes" },
 		"prefix without closing slash": func(d *spec.Plan) { d.Routes[0].Prefix = "/x" },
 		"no service":                   func(d *spec.Plan) { d.Routes[0].Split = nil },
--- a/core/roster/entry.go
+++ b/core/roster/entry.go
@@ -18,6 +18,9 @@
 	// MaxName is the length in bytes of the longest ID, service, data centre or version. Names are
 	// kept, logged, and carried by heartbeats, which peers accept only up to this length.
 	MaxName = 200
+	// MaxRevision is the highest revision or era of the platform's store: no later change would be followed
+	// after a higher one.
+	MaxRevision = 1 << 53
 	// MaxSlots is far more than any target runs at once.
 	MaxSlots = 1 << 16
 )
@@ -48,6 +51,15 @@
 	return checkAddress(r.Address)
 }
 
+// CheckList returns an error that wraps ErrInvalid if a peer's list has a revision or an era that the
+// platform can't have given.
+func CheckList(d *spec.Directory) error {
+	if max(d.Revision, d.Complete, d.Era) > MaxRevision {
+		return fmt.Errorf("%w: list as of revision %d, with all changes up to %d of era %d", ErrInvalid, d.Revision, d.Complete, d.Era)
+	}
+	return nil
+}
+
 // checkName checks a name. The ID is sent in a header, where control characters and spaces around
 // it would be lost, and a target runs requests that name no ID.
 func checkName(n string, optional bool) error {
--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -12,6 +12,7 @@
 	"kingcupstand/core/pool"
 	"kingcupstand/core/queue"
 	"kingcupstand/core/quota"
+	"kingcupstand/core/roster"
 	"kingcupstand/core/sched"
 	"kingcupstand/io/actor"
 	"kingcupstand/io/gossip"
@@ -367,6 +368,10 @@
 		f.telem.Log.Error(err, "cannot decode peer's target list", "peer", peer)
 		return
 	}
+	if err := roster.CheckList(d); err != nil {
+		f.telem.Log.Error(err, "cannot decode peer's target list", "peer", peer)
+		return
+	}
 	f.dropInvalid(d, peer)
 	age := time.Duration(r.DirectoryAgeMs) * time.Millisecond
 	f.loop.Post(func(now time.Duration, s *state) {
--- a/io/front/odd_test.go
+++ b/io/front/odd_test.go
@@ -15,6 +15,7 @@
 	"kingcupstand/io/actor"
 	"kingcupstand/io/gossip"
 	"kingcupstand/schema/spec"
+	"kingcupstand/schema/wire"
 )
 
 // datagram is the largest UDP payload in bytes.
@@ -94,3 +95,39 @@
 		}
 	}
 }
+
+// Guards against fronts that follow nothing any more after a plan or a peer's list with the largest revision:
+// none is later.
+func TestLargestRevisionEndsNoChanges(t *testing.T) {
+	f := sharingFront(t, false)
+	f.ReplaceTargets(&spec.Directory{Revision: 1, Complete: 1, Replicas: []*spec.Replica{listedTarget(1, "v1")}})
+	for _, d := range []*spec.Directory{
+		{Revision: math.MaxUint64, Complete: math.MaxUint64},
+		{Revision: 2, Complete: math.MaxUint64},
+		{Revision: 3, Complete: 3, Era: math.MaxUint64},
+	} {
+		b, err := proto.Marshal(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.acceptDirectory("192.0.2.2:1", &wire.FetchReply{Directory: b})
+	}
+	f.PutTarget(2, listedTarget(2, "v1"))
+	if ids := usable(f); len(ids) != 2 {
+		t.Errorf("the front uses %v, want i-1 and i-2", ids)
+	}
+	later, err := proto.Marshal(&spec.Directory{Revision: 9, Complete: 9, Replicas: []*spec.Replica{listedTarget(3, "v1")}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.acceptDirectory("192.0.2.2:1", &wire.FetchReply{Directory: later})
+	if ids := usable(f); len(ids) != 1 || ids[0] != "i-3" {
+		t.Errorf("the front uses %v, want i-3 of a peer's later list", ids)
+	}
+	for _, r := range []uint64{math.MaxUint64, 7} {
+		f.SetPlan(&spec.Plan{Revision: r})
+	}
+	if r := f.plan.Load().Revision(); r != 7 {
+		t.Errorf("plan %d is in force, want 7", r)
+	}
+}
--- a/io/gossip/parse.go
+++ b/io/gossip/parse.go
@@ -9,6 +9,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"kingcupstand/core/plan"
+	"kingcupstand/core/roster"
 	"kingcupstand/schema/wire"
 )
 
@@ -42,6 +44,16 @@
 		_, err := netip.ParseAddrPort(a)
 		return err != nil
 	})
+	// A peer that names a document that can't be isn't asked for it.
+	if m.Plan > plan.MaxRevision {
+		m.Plan = 0
+	}
+	if m.Directory > roster.MaxRevision {
+		m.Directory = 0
+	}
+	m.Drains = slices.DeleteFunc(m.Drains, func(d *wire.DataCentreDrain) bool {
+		return max(d.GetEra(), d.GetRevision()) > roster.MaxRevision
+	})
 	for _, u := range m.Uses {
 		if u.Running > MaxCount || u.PromptTokens > MaxTokens {
 			return nil, fmt.Errorf("%w: %d requests and %d prompt tokens at a target", errInvalid, u.Running, u.PromptTokens)
--- a/io/gossip/parse_test.go
+++ b/io/gossip/parse_test.go
@@ -108,3 +108,22 @@
 		}
 	}
 }
+
+// Guards against a front that asks a peer again and again for a plan or a list that can't be, or drains a data
+// centre for good: nothing that the platform can't have given is taken from a heartbeat, but the rest is.
+func TestParseDropsRevisionsThatCannotBe(t *testing.T) {
+	b, err := proto.Marshal(&wire.Beat{
+		Peer: "192.0.2.1:7600", Sequence: 3, Plan: math.MaxUint64, Directory: math.MaxUint64,
+		Drains: []*wire.DataCentreDrain{{DataCentre: "a", Era: math.MaxUint64}, {DataCentre: "b", Revision: math.MaxUint64}, {DataCentre: "c", Revision: 7}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := gossip.Parse(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m.Plan != 0 || m.Directory != 0 || len(m.Drains) != 1 || m.Drains[0].DataCentre != "c" {
+		t.Errorf("got %v, want the drain of c alone", m)
+	}
+}
