--- a/core/origin/kept.go
+++ b/core/origin/kept.go
@@ -1,15 +1,29 @@
 package origin
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // KeptFor is how long a keeper keeps a front's streams after its last report: longer than fronts are
 // away after a loss of power, and callers wait to resume their streams.
 const KeptFor = MinKeep
 
+// Bounds of the memory of a keeper, for the incarnations and origins of one front and for all. The groups
+// that were reported longest ago are dropped first: a front that runs reports its own about every second.
+const (
+	maxFrontGroups  = 1 << 8
+	maxFrontStreams = maxRecords
+	maxGroups       = 1 << 12
+	maxKeptStreams  = 1 << 18
+)
+
 // Kept holds the streams that fronts have in progress, as a keeper beside a target knows them. What a
 // front had in progress when it ended stays for KeptFor. It is not safe for concurrent use.
 type Kept struct {
 	groups map[keptKey]*keptGroup
+	// streams is the number of streams of all groups.
+	streams int
 }
 
 // keptKey is one process of a front and an origin.
@@ -49,6 +63,7 @@
 		return
 	}
 	g.at = now
+	k.streams -= len(g.streams)
 	if r.All {
 		g.complete = from.Sequence
 		clear(g.streams)
@@ -58,12 +73,47 @@
 			g.streams[id] = struct{}{}
 		}
 	}
+	k.streams += len(g.streams)
+	for n, streams := k.size(from.Front); n > maxFrontGroups || streams > maxFrontStreams; n, streams = k.size(from.Front) {
+		k.dropOldest(func(key keptKey) bool { return key.front == from.Front })
+	}
+	for len(k.groups) > maxGroups || k.streams > maxKeptStreams {
+		k.dropOldest(func(keptKey) bool { return true })
+	}
+}
+
+// size returns the numbers of groups and streams of a front.
+func (k *Kept) size(front string) (groups, streams int) {
+	for key, g := range k.groups {
+		if key.front == front {
+			groups++
+			streams += len(g.streams)
+		}
+	}
+	return groups, streams
+}
+
+// dropOldest drops the group that was reported longest ago among those that match.
+func (k *Kept) dropOldest(matches func(keptKey) bool) {
+	var oldest keptKey
+	at := time.Duration(math.MaxInt64)
+	for key, g := range k.groups {
+		if matches(key) && g.at < at {
+			oldest, at = key, g.at
+		}
+	}
+	k.drop(oldest)
+}
+
+func (k *Kept) drop(key keptKey) {
+	k.streams -= len(k.groups[key].streams)
+	delete(k.groups, key)
 }
 
 func (k *Kept) expire(now time.Duration) {
 	for key, g := range k.groups {
 		if now-g.at > KeptFor {
-			delete(k.groups, key)
+			k.drop(key)
 		}
 	}
 }
--- a/core/origin/kept_test.go
+++ b/core/origin/kept_test.go
@@ -137,3 +137,30 @@
 	slices.Sort(s)
 	return fmt.Sprint(s[0], ", ", s[1])
 }
+
+// Guards against a keeper that grows with each incarnation that reports, and with each report: the groups that
+// were reported longest ago go first, so that those of fronts that run stay.
+func TestKeptIsBounded(t *testing.T) {
+	k := origin.NewKept()
+	now := time.Duration(0)
+	running := origin.Sender{Front: "f-1", Incarnation: 1, Sequence: 1}
+	streams := make([]uint64, 2000)
+	for n := range uint64(6000) {
+		if n%1000 == 0 {
+			k.Observe(now, running, origin.Report{Origin: v1, Streams: []uint64{7}, All: true})
+		}
+		for i := range streams {
+			streams[i] = n<<32 | uint64(i)
+		}
+		now += time.Millisecond
+		k.Observe(now, origin.Sender{Front: "f-2", Incarnation: n}, origin.Report{Origin: v2, Streams: streams[:1+n/3]})
+		k.Observe(now, origin.Sender{Front: fmt.Sprint("g-", n)}, origin.Report{Origin: v2, Streams: streams[:100]})
+	}
+	m := k.Streams(now)
+	if !slices.Equal(m[v1], []uint64{7}) {
+		t.Errorf("kept %d streams of the front that runs, want one", len(m[v1]))
+	}
+	if n := len(m[v2]); n == 0 || n > 1<<18 {
+		t.Errorf("kept %d streams of the others, want up to %d", n, 1<<18)
+	}
+}
