--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -158,17 +158,25 @@
 		far = s.peers.Recipients(s.random, near, keepers)
 	}
 	m := f.heartbeat(now, s)
-	f.gossip.Send(m, append(to, far...))
+	f.send(m, append(to, far...))
 	f.reportRunning(now, s)
 	s.traffic.count(m, len(to), len(far))
 	if near != nil {
 		f.sendStreams(s, streams, near)
 		return
 	}
-	if len(keepers) > 0 {
-		m.Streams = merged(streams)
-		f.gossip.Send(m, slices.Collect(maps.Keys(keepers)))
-		s.traffic.count(m, 0, len(keepers))
+	if len(keepers) == 0 {
+		return
+	}
+	m.Streams = merged(streams)
+	together := proto.Size(m) <= maxDatagram
+	if !together {
+		m.Streams = nil
+	}
+	f.send(m, slices.Collect(maps.Keys(keepers)))
+	s.traffic.count(m, 0, len(keepers))
+	if !together {
+		f.sendStreams(s, streams, near)
 	}
 }
 
@@ -176,7 +184,7 @@
 func (f *Front) sendStreams(s *state, streams map[string][]*wire.StreamOrigin, near []string) {
 	for p, ms := range streams {
 		m := &wire.Beat{Peer: f.settings.Peer, Incarnation: f.incarnation, Sequence: s.sequence, StreamsOnly: true, Streams: ms}
-		f.gossip.Send(m, []string{p})
+		f.send(m, []string{p})
 		if slices.Contains(near, p) {
 			s.traffic.count(m, 1, 0)
 		} else {
--- a/io/front/records.go
+++ b/io/front/records.go
@@ -53,13 +53,17 @@
 	}
 }
 
+// sendReport sends a report in as many messages as it needs. A complete one replaces what keepers have
+// with its first message, to which they add the others.
 func (f *Front) sendReport(s *state, r origin.Report) {
-	m := &wire.Beat{
-		Peer: f.settings.Peer, Incarnation: f.incarnation, Sequence: s.sequence, AllStreams: r.All, StreamsOnly: true,
-		Streams: []*wire.StreamOrigin{{Service: r.Service, Version: r.Version, Streams: r.Streams}},
+	for n := 0; n == 0 || n < len(r.Streams); n += maxReportStreams {
+		m := &wire.Beat{
+			Peer: f.settings.Peer, Incarnation: f.incarnation, Sequence: s.sequence, AllStreams: r.All && n == 0, StreamsOnly: true,
+			Streams: []*wire.StreamOrigin{{Service: r.Service, Version: r.Version, Streams: r.Streams[n:min(n+maxReportStreams, len(r.Streams))]}},
+		}
+		f.send(m, r.To)
+		s.traffic.count(m, 0, len(r.To))
 	}
-	f.gossip.Send(m, r.To)
-	s.traffic.count(m, 0, len(r.To))
 }
 
 // keepersOf returns the addresses of the keepers that know this front's streams of an origin. They
