--- a/io/node/instances_test.go
+++ b/io/node/instances_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,3 +54,41 @@
 		p.Publish(stand.InstanceList, list([]string{"a", "b", "c", "d"}[:want+1]...))
 	}
 }
+
+// Guards against processes that read a platform without a pause, as its answers have no ETag, or the one that
+// they have already.
+func TestPlatformWithoutTagsIsReadWithPauses(t *testing.T) {
+	for name, tag := range map[string]string{"none": "", "always the same": `"x"`, "unchanged at once": "304"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var calls atomic.Int64
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if calls.Add(1) > 2 && tag == "304" {
+					w.WriteHeader(http.StatusNotModified)
+					return
+				}
+				if tag != "" {
+					w.Header().Set("ETag", tag)
+				}
+				_, _ = io.WriteString(w, "instances: []")
+			}))
+			t.Cleanup(s.Close)
+			c := &spec.Settings{Name: "a"}
+			m, err := telem.New(io.Discard, c.Name, c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			n, err := node.New(c, m, poll.NewHTTP(s.URL, &http.Client{}), link.New(nil), node.Hooks{
+				Config: func(*conf.Config) {}, Instances: func([]*spec.Instance) {},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			go n.Run(t.Context())
+			time.Sleep(1500 * time.Millisecond)
+			if v := calls.Load(); v < 2 || v > 8 {
+				t.Errorf("%d calls in 1.5 s, want up to 4 for each value", v)
+			}
+		})
+	}
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -164,28 +164,26 @@
 
 // runConfiguration watches the configuration document.
 func (n *Node) runConfiguration(ctx context.Context) {
-	tag := ""
+	r := reader{get: n.source.Configuration}
 	for ctx.Err() == nil {
-		t, err := n.source.Configuration(ctx, tag)
+		t, err := r.read(ctx)
 		if err != nil {
 			n.readFailed(ctx, "configuration", err)
 			continue
 		}
-		tag = t.Tag
 		n.accept("platform", t.Body)
 	}
 }
 
 // runInstances watches the instance list.
 func (n *Node) runInstances(ctx context.Context) {
-	tag := ""
+	r := reader{get: n.source.Instances}
 	for ctx.Err() == nil {
-		t, err := n.source.Instances(ctx, tag)
+		t, err := r.read(ctx)
 		if err != nil {
 			n.readFailed(ctx, "instances", err)
 			continue
 		}
-		tag = t.Tag
 		l, ps, ok := conf.ReadInstances(t.Body)
 		if !ok {
 			n.telem.Scope.Counter("instance_lists_rejected").Inc(1)
