--- a/io/front/list_test.go
+++ b/io/front/list_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"kingcupstand/core/roster"
 	"kingcupstand/core/sched"
 	"kingcupstand/io/actor"
+	"kingcupstand/io/telem"
 	"kingcupstand/schema/spec"
 )
 
@@ -199,3 +201,18 @@
 		t.Errorf("got queues of %v, want llm", ss)
 	}
 }
+
+// Guards against a front that is busy with its log while an entry changes again and again.
+func TestLinesAboutChangesOfEntriesAreLimited(t *testing.T) {
+	f := sharingFront(t, false)
+	var b strings.Builder
+	f.telem.Log = telem.NewLogger(&b, "info")
+	for i := range uint64(1000) {
+		f.PutTarget(2*i+1, listedTarget(1, "v1"))
+		f.RemoveTarget(2*i+2, "i-1")
+	}
+	n := actor.Ask(f.loop, func(time.Duration, *state) int { return strings.Count(b.String(), "target=i-1 ") })
+	if n < 2 || n > 500 {
+		t.Errorf("%d lines about 2000 changes, want some", n)
+	}
+}
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -6,26 +6,15 @@
 	"runtime/metrics"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/time/rate"
 
 	"kingcupstand/core/event"
 	"kingcupstand/core/pool"
 	"kingcupstand/io/telem"
 )
 
-// Rate limits of the log.
-const (
-	// linesPerSecond is the sustained rate of log lines of one kind; a busy front has a
-	// few tens of requests a second.
-	linesPerSecond = 60
-	// lineBurst is how many lines of one kind may be written at once.
-	lineBurst = 120
-)
-
 // latencyBuckets are the bounds of the latency histograms: 5 ms to 10.24 s, doubling.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 12)
 
@@ -50,15 +39,7 @@
 	recordsRead      tally.Counter
 	heartbeatsNear   tally.Counter
 	heartbeatsFar    tally.Counter
-	mu               sync.Mutex
-	limits           map[string]*lineLimit
-}
-
-// lineLimit is the rate limit of one kind of log line.
-type lineLimit struct {
-	limiter *rate.Limiter
-	// dropped counts the lines dropped since the last one that was written.
-	dropped int
+	lines            *telem.Lines
 }
 
 func newMeter(t *telem.Telemetry) *meter {
@@ -81,7 +62,7 @@
 		recordsRead:      t.Scope.Counter("stream_records_read"),
 		heartbeatsNear:   heartbeatBytes(t, "near"),
 		heartbeatsFar:    heartbeatBytes(t, "far"),
-		limits:           map[string]*lineLimit{},
+		lines:            telem.NewLines(),
 	}
 }
 
@@ -166,27 +147,9 @@
 	event.ErrOrder: "out-of-order", event.ErrMalformed: "malformed-event", errWithheld: "withheld", errTimeout: "timeout", errStopped: "stopping",
 }
 
-// allow reports whether a line of the kind may be written now, and how many were
-// dropped since the last one.
-func (m *meter) allow(kind string) (dropped int, ok bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	k := m.limits[kind]
-	if k == nil {
-		k = &lineLimit{limiter: rate.NewLimiter(linesPerSecond, lineBurst)}
-		m.limits[kind] = k
-	}
-	if !k.limiter.Allow() {
-		k.dropped++
-		return 0, false
-	}
-	dropped, k.dropped = k.dropped, 0
-	return dropped, true
-}
-
 // log writes a line subject to the rate limit of its kind.
 func (f *Front) log(kind, message string, pairs ...any) {
-	d, ok := f.meter.allow(kind)
+	d, ok := f.meter.lines.Allow(kind)
 	if !ok {
 		f.telem.Scope.Tagged(map[string]string{"kind": kind}).Counter("log_lines_dropped").Inc(1)
 		return
@@ -203,7 +166,7 @@
 type httpLogWriter struct{ meter *meter }
 
 func (l *httpLogWriter) Write(b []byte) (int, error) {
-	if _, ok := l.meter.allow("http"); ok {
+	if _, ok := l.meter.lines.Allow("http"); ok {
 		l.meter.telem.Log.Info("http server error", "message", strings.TrimSpace(string(b)))
 	}
 	return len(b), nil
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -335,7 +335,7 @@
 	f.updateList(func(now time.Duration, s *state) {
 		s.roster.Put(now, revision, r)
 		s.origins.ObserveVersion(r.Service, r.Version) // it may be gone before the list is applied
-		f.telem.Log.Info("target listed", "target", r.Id, "service", r.Service, "address", r.Address,
+		f.log("listed", "target listed", "target", r.Id, "service", r.Service, "address", r.Address,
 			"leaving", r.Leaving, "born", r.Born, "version", r.Version, "revision", revision)
 	})
 }
@@ -344,7 +344,7 @@
 func (f *Front) RemoveTarget(revision uint64, id string) {
 	f.updateList(func(now time.Duration, s *state) {
 		s.roster.Delete(now, revision, id)
-		f.telem.Log.Info("target not listed any more", "target", id, "revision", revision)
+		f.log("unlisted", "target not listed any more", "target", id, "revision", revision)
 	})
 }
 
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -34,6 +34,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"kingcupstand/io/telem"
 	"kingcupstand/schema/wire"
 )
 
@@ -72,7 +73,7 @@
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("listen for peers: %w", err), c.Close())
 	}
-	return &Transport{address: address, log: l, conn: c, listener: n}, nil
+	return &Transport{address: address, log: telem.Limited(l), conn: c, listener: n}, nil
 }
 
 // Close closes the sockets, which ends Run. Serve may have closed the TCP socket already;
--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -23,6 +23,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"storj.io/drpc"
 
 	"kingcupstand/core/origin"
@@ -40,6 +41,7 @@
 type Keeper struct {
 	settings *spec.Keeper
 	telem    *telem.Telemetry
+	log      logr.Logger
 	loop     *actor.Loop[*origin.Kept]
 }
 
@@ -47,7 +49,7 @@
 
 // New returns a Keeper with the given settings. It opens no sockets before Run.
 func New(s *spec.Keeper, t *telem.Telemetry) *Keeper {
-	return &Keeper{settings: s, telem: t, loop: actor.New(origin.NewKept())}
+	return &Keeper{settings: s, telem: t, log: telem.Limited(t.Log), loop: actor.New(origin.NewKept())}
 }
 
 // Run serves until stop is closed or ctx ends, and returns nil then, or until a server fails. It may
@@ -115,7 +117,7 @@
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
 	})
 	k.telem.Scope.Counter("records_read").Inc(1)
-	k.telem.Log.Info("records read", "streams", n)
+	k.log.Info("records read", "streams", n)
 	return r, nil
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -40,6 +40,7 @@
 
 	cryptorand "crypto/rand"
 
+	"github.com/go-logr/logr"
 	"github.com/zeromicro/go-zero/rest"
 
 	"kingcupstand/core/conf"
@@ -84,6 +85,7 @@
 type Node struct {
 	settings    *spec.Settings
 	telem       *telem.Telemetry
+	log         logr.Logger
 	source      poll.Source
 	link        *link.Client
 	hooks       Hooks
@@ -119,6 +121,7 @@
 	n := &Node{
 		settings:    s,
 		telem:       t,
+		log:         telem.Limited(t.Log),
 		source:      p,
 		link:        l,
 		hooks:       h,
@@ -187,12 +190,12 @@
 		l, ps, ok := conf.ReadInstances(t.Body)
 		if !ok {
 			n.telem.Scope.Counter("instance_lists_rejected").Inc(1)
-			n.telem.Log.Info("instance list rejected", "problem", ps[0].String(), "problems", len(ps))
+			n.log.Info("instance list rejected", "problem", ps[0].String(), "problems", len(ps))
 			continue
 		}
 		if len(ps) > 0 {
 			n.telem.Scope.Counter("instances_ignored").Inc(int64(len(ps)))
-			n.telem.Log.Info("instances ignored", "problem", ps[0].String(), "problems", len(ps), "listed", len(l))
+			n.log.Info("instances ignored", "problem", ps[0].String(), "problems", len(ps), "listed", len(l))
 		}
 		n.loop.Post(func(now time.Duration, s *state) { n.applyInstances(now, s, l) })
 	}
@@ -206,7 +209,7 @@
 	s.fleet = s.fleet.With(now, listed)
 	if s.fleet.HasMissing() {
 		n.telem.Scope.Counter("instance_lists_doubted").Inc(1)
-		n.telem.Log.Info("instance list doubted", "listed", len(listed), "kept", len(s.fleet.Instances()))
+		n.log.Info("instance list doubted", "listed", len(listed), "kept", len(s.fleet.Instances()))
 		time.AfterFunc(fleet.Grace, func() {
 			n.loop.Post(func(now time.Duration, s *state) { n.applyInstances(now, s, s.published) })
 		})
@@ -221,7 +224,7 @@
 		return
 	}
 	n.telem.Scope.Counter("platform_read_failures").Inc(1)
-	n.telem.Log.Info("platform read failed", "value", what, "error", err.Error())
+	n.log.Info("platform read failed", "value", what, "error", err.Error())
 	sleep(ctx, retryDelay)
 }
 
@@ -242,14 +245,14 @@
 			c := s.holder.Config()
 			n.config.Store(c)
 			n.telem.Scope.Gauge("revision").Update(float64(c.Revision()))
-			n.telem.Log.Info("configuration in force", "revision", c.Revision(), "from", from)
+			n.log.Info("configuration in force", "revision", c.Revision(), "from", from)
 			n.hooks.Config(c)
 		}
 		return err
 	})
 	if err != nil {
 		n.telem.Scope.Counter("configurations_refused").Inc(1)
-		n.telem.Log.Info("configuration refused", "from", from, "error", err.Error())
+		n.log.Info("configuration refused", "from", from, "error", err.Error())
 	}
 }
 
@@ -299,7 +302,7 @@
 	r, err := n.link.Sync(ctx, p.Peer, q)
 	if err != nil {
 		n.telem.Scope.Counter("sync_failures").Inc(1)
-		n.telem.Log.V(1).Info("sync failed", "peer", p.Name, "error", err.Error())
+		n.log.V(1).Info("sync failed", "peer", p.Name, "error", err.Error())
 		return
 	}
 	if len(r.Document) > 0 {
@@ -315,7 +318,7 @@
 	q.Revision = c.Revision()
 	q.Document = c.Text()
 	if _, err := n.link.Sync(ctx, p.Peer, q); err != nil {
-		n.telem.Log.V(1).Info("sync failed", "peer", p.Name, "error", err.Error())
+		n.log.V(1).Info("sync failed", "peer", p.Name, "error", err.Error())
 	}
 }
 
