--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -25,6 +25,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -34,6 +35,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"kingcupstand/core/roster"
 	"kingcupstand/io/telem"
 	"kingcupstand/schema/wire"
 )
@@ -50,6 +52,9 @@
 	recordsTimeout = 400 * time.Millisecond
 )
 
+// errReply is wrapped by errors about a peer's reply that is not usable.
+var errReply = errors.New("invalid reply")
+
 // Transport sends and receives heartbeats and fetches documents. It is safe for concurrent
 // use.
 type Transport struct {
@@ -150,16 +155,29 @@
 
 // Origin asks a peer what began a stream. It fails after originTimeout at the latest.
 func (b *Transport) Origin(ctx context.Context, peer string, q *wire.OriginRequest) (*wire.OriginReply, error) {
-	return call(ctx, peer, originTimeout, wire.NewDRPCFrontClient, func(ctx context.Context, c wire.DRPCFrontClient) (*wire.OriginReply, error) {
+	r, err := call(ctx, peer, originTimeout, wire.NewDRPCFrontClient, func(ctx context.Context, c wire.DRPCFrontClient) (*wire.OriginReply, error) {
 		return c.Origin(ctx, q)
 	})
+	if err != nil {
+		return nil, err
+	}
+	known := r.Recorded || r.Version != ""
+	if known && !validOrigin(r.Service, r.Version) || max(r.Era, r.Revision) > roster.MaxRevision {
+		return nil, fmt.Errorf("%w: service %.40q, version %.40q as of revision %d of era %d", errReply, r.Service, r.Version, r.Revision, r.Era)
+	}
+	return r, nil
 }
 
-// Records asks a keeper for its records. It fails after recordsTimeout at the latest.
+// Records asks a keeper for its records. Those whose origin can't be passed on are left out. It fails after recordsTimeout at the latest.
 func (b *Transport) Records(ctx context.Context, keeper string) (*wire.RecordsReply, error) {
-	return call(ctx, keeper, recordsTimeout, wire.NewDRPCKeeperClient, func(ctx context.Context, c wire.DRPCKeeperClient) (*wire.RecordsReply, error) {
+	r, err := call(ctx, keeper, recordsTimeout, wire.NewDRPCKeeperClient, func(ctx context.Context, c wire.DRPCKeeperClient) (*wire.RecordsReply, error) {
 		return c.Records(ctx, &wire.RecordsRequest{})
 	})
+	if err != nil {
+		return nil, err
+	}
+	r.Streams = slices.DeleteFunc(r.Streams, func(o *wire.StreamOrigin) bool { return !validOrigin(o.Service, o.Version) })
+	return r, nil
 }
 
 // call calls a peer on a connection of its own, with the client that open returns for it.
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -1,12 +1,17 @@
 package gossip_test
 
 import (
+	"context"
+	"errors"
 	"net"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+	"storj.io/drpc"
+
 	"kingcupstand/io/gossip"
 	"kingcupstand/io/telem"
 	"kingcupstand/schema/wire"
@@ -71,3 +76,59 @@
 		t.Error("no line has the number of those that were dropped before it")
 	}
 }
+
+// peer answers the questions of fronts.
+type peer struct {
+	origin  *wire.OriginReply
+	records *wire.RecordsReply
+}
+
+func (p *peer) Origin(context.Context, *wire.OriginRequest) (*wire.OriginReply, error) {
+	return p.origin, nil
+}
+
+func (p *peer) Records(context.Context, *wire.RecordsRequest) (*wire.RecordsReply, error) {
+	return p.records, nil
+}
+
+func (p *peer) Fetch(context.Context, *wire.FetchRequest) (*wire.FetchReply, error) {
+	return &wire.FetchReply{}, nil
+}
+
+// Guards against fronts that lose each other, as one has a stream's version from an answer that its peers
+// refuse in a heartbeat.
+func TestOddNamesInRepliesAreNotUsed(t *testing.T) {
+	n, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := n.Addr().String()
+	_ = n.Close()
+	b, err := gossip.New(a, logr.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = b.Close() })
+	long := strings.Repeat("v", 300)
+	p := &peer{
+		origin: &wire.OriginReply{Service: "llm", Version: long, Recorded: true},
+		records: &wire.RecordsReply{Streams: []*wire.StreamOrigin{
+			{Service: "llm", Version: long, Streams: []uint64{1}},
+			{Service: long, Version: "v1", Streams: []uint64{2}},
+			{Service: "llm", Streams: []uint64{3}},
+			{Service: "llm", Version: "v1", Streams: []uint64{4}},
+		}},
+	}
+	go func() {
+		_ = b.Serve(t.Context(), func(m drpc.Mux) error {
+			return errors.Join(wire.DRPCRegisterFront(m, p), wire.DRPCRegisterKeeper(m, p))
+		})
+	}()
+	if o, err := b.Origin(t.Context(), a, &wire.OriginRequest{}); err == nil {
+		t.Errorf("got %.60v, want an error", o)
+	}
+	r, err := b.Records(t.Context(), a)
+	if err != nil || len(r.Streams) != 1 || r.Streams[0].Version != "v1" || r.Streams[0].Service != "llm" {
+		t.Errorf("got %.60v, error %v, want the fourth record alone", r, err)
+	}
+}
--- a/io/gossip/parse.go
+++ b/io/gossip/parse.go
@@ -75,7 +75,7 @@
 		}
 	}
 	for _, o := range m.Streams {
-		if o.Version == "" || len(o.Version) > MaxName || o.Service == "" || len(o.Service) > MaxName {
+		if !validOrigin(o.Service, o.Version) {
 			return nil, fmt.Errorf("%w: streams of service %.40q, version %.40q", errInvalid, o.Service, o.Version)
 		}
 	}
@@ -90,3 +90,8 @@
 
 // inRange reports whether v is a number of a magnitude below 2^63.
 func inRange(v float64) bool { return !math.IsNaN(v) && math.Abs(v) < math.MaxInt64 }
+
+// validOrigin reports whether the names of an origin can be kept and passed on.
+func validOrigin(service, version string) bool {
+	return service != "" && len(service) <= MaxName && version != "" && len(version) <= MaxName
+}
