io/front: no connection is kept after a misdirected request

Callers: 503, "not run", for a request that runs, or it runs at a further target. None seen; found by review.

Cause: a front's list has a target that has ended, and another process is at its address. It refuses the request with 421, and is listed itself while the request waits. The request goes to it on the kept connection, under the same Attempt-Id. If it writes the 421 once more there, that names the request and counts as its answer. Requests are kept from going to a target twice by the target's id, not by its address. The connection on which a misdirected request was refused is closed now, so that a duplicate of the 421 can't arrive where the request is answered.

Ruled out: that another answer can do the same. A request comes to one process under two ids only by 421; after any other response it isn't sent to that target again, and a process that has ended takes its connections with it (read only). Not sending the request to the address again would refuse requests that the new process could run. By the protocol a 421 is rare: the cost is one new connection each.

--- a/io/front/notice.go
+++ b/io/front/notice.go
@@ -102,16 +102,18 @@
 
 // handleNotRun handles a response which guarantees that the request has not run, unless it is
 // cut off. A misdirected request (421) reached another process than the target, so the target
-// counts as unreachable.
+// counts as unreachable. The connection isn't kept then: the request may come to that process once
+// more, under the process's own id, and a duplicate of this response would name it.
 func (e *exchange) handleNotRun(a *http.Response) result {
 	if err := discard(a.Body); err != nil {
 		e.broken = true
 		return result{sent: true, mayHaveRun: true, err: fmt.Errorf("read response body: %w", err)}
 	}
-	e.keep(a)
-	e.outcome = pool.Rejected
 	if a.StatusCode == http.StatusMisdirectedRequest {
 		e.outcome = pool.Unreachable
+	} else {
+		e.keep(a)
+		e.outcome = pool.Rejected
 	}
 	return result{sent: true, err: fmt.Errorf("status %d: %w", a.StatusCode, errNotRun)}
 }
