io/front: a request that may have run isn't repeated if a new plan forbids it

Callers: none seen; found by review. A request whose first target broke off runs at a second one although its route is non-idempotent by then.

Cause: whether a request may be repeated was decided when its dispatch had failed. While it waits for the next target, a new plan may come into force, whose terms it gets, also if these allow no repetition. It ends with 502 now, or with the first target's error.

Ruled out: keeping the old terms. They hold for a request that a new plan refuses, but a repetition under them would break the plan in force. Not covered: a plan that comes into force while the request is being moved from a silent target, which goes by the plan of its dispatch (read only).

Measured: TestRouteThatMayNotBeRepeatedAnyMore fails before (two runs: "got status 200, ran 1 and 1 times; want 502, 1 and 0") and passes (three runs). TestRequestPath, TestRepeatedRequestsGetOneAnswerUnderPlanChange, TestQueuedRequestsGetOneAnswerUnderPlanChange and TestPlanChangesWhileTargetIsSilent pass (one run each).

--- a/io/front/request.go
+++ b/io/front/request.go
@@ -53,6 +53,9 @@
 	errStalled = errors.New("target stalled")
 )
 
+// errNotRepeatable ends a request that may have run if a new plan has come into force meanwhile.
+var errNotRepeatable = errors.New("route may not be repeated any more")
+
 // request is one request of a caller. It belongs to the goroutine that serves it.
 type request struct {
 	front  *Front
@@ -386,6 +389,11 @@
 			q.refuse(s, reason, after)
 			return nil
 		}
+		if q.mayHaveRun && !q.route.Repeatable() {
+			q.release(g.choice, service)
+			q.fail(ctx, errNotRepeatable, 0)
+			return nil
+		}
 		if q.service != service {
 			q.release(g.choice, service)
 			continue
