--- a/internal/soak/drain_test.go
+++ b/internal/soak/drain_test.go
@@ -70,26 +70,54 @@
 // checkWarmUp checks that replicas that have just come back get no more requests in any second than
 // they bear, whatever happened to the fronts.
 func (h *harness) checkWarmUp() {
-	most := 0
+	var most []stand.Arrival
+	var at *replica
 	for _, r := range h.replicas {
 		if r.from.IsZero() || r.Events == 0 {
 			continue
 		}
 		as := slices.DeleteFunc(r.Arrivals(), func(a stand.Arrival) bool { return a.At.After(r.from.Add(warmUpTime)) })
 		for i, a := range as {
-			n := 0
-			for _, b := range as[i:] {
-				if b.At.Sub(a.At) < time.Second {
-					n++
-				}
+			n := i
+			for n < len(as) && as[n].At.Sub(a.At) < time.Second {
+				n++
+			}
+			if n-i > len(most) {
+				most, at = as[i:n], r
 			}
-			most = max(most, n)
 		}
 	}
-	if float64(most) > warmUpInSecond {
-		h.t.Errorf("a replica that warms up got %d requests in a second, want at most %.0f", most, float64(warmUpInSecond))
+	if float64(len(most)) > warmUpInSecond {
+		h.t.Errorf("a replica that warms up got %d requests in a second, want at most %.0f", len(most), float64(warmUpInSecond))
+		h.showArrivals(at, most)
+	}
+	h.t.Logf("replicas that warm up got at most %d requests in a second", len(most))
+}
+
+// showArrivals logs requests that reached a replica, and when their fronts and its relay were disturbed.
+func (h *harness) showArrivals(r *replica, as []stand.Arrival) {
+	outcomes := map[string]outcome{}
+	for _, o := range h.outcomes {
+		outcomes[o.id] = o
+	}
+	h.t.Logf("%s at %s, registered at %v", r.ID, r.relay.Address(), r.from.UTC())
+	for _, a := range as {
+		o := outcomes[a.ID]
+		h.t.Logf("%v: %s from front %d, sent %v before, ran %d times", a.At.UTC(), a.ID, o.front, a.At.Sub(o.sent), r.Runs(a.ID))
+	}
+	w := span{r.from, r.from.Add(warmUpTime)}
+	for i, ss := range h.disturbed {
+		for _, s := range ss {
+			if s.overlaps(w) {
+				h.t.Logf("front %d disturbed from %v to %v", i, s.from.UTC(), s.to.UTC())
+			}
+		}
+	}
+	for _, s := range h.cuts(r) {
+		if s.overlaps(w) {
+			h.t.Logf("its relay disturbed from %v to %v", s.from.UTC(), s.to.UTC())
+		}
 	}
-	h.t.Logf("replicas that warm up got at most %d requests in a second", most)
 }
 
 // eachArrival calls f with each request that reached a replica.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -47,6 +47,7 @@
 	seed      = flag.Uint64("soak.seed", 1, "seed of the faults and of the load")
 	faultTime = flag.Duration("soak.time", 4*time.Second, "time during which faults are injected")
 	program   = flag.String("soak.front", "", "program of the fronts (default: it is built)")
+	logs      = flag.String("soak.logs", "", "directory in which the fronts' logs are kept")
 )
 
 // Sizes and times.
@@ -149,7 +150,10 @@
 
 // start builds and starts the fronts, with a store and replicas behind relays.
 func (h *harness) start() {
-	dir := h.t.TempDir()
+	dir := *logs
+	if dir == "" {
+		dir = h.t.TempDir()
+	}
 	binary := h.binary(dir)
 	h.publishConfig()
 	server := httptest.NewServer(h.store)
