--- a/core/pool/choose.go
+++ b/core/pool/choose.go
@@ -59,11 +59,12 @@
 
 // suspended returns the target whose suspension ends first among those where this front
 // has nothing in flight, or nil. It is used if no target is usable, because a dispatch that
-// may fail is better for the caller than a refusal.
+// may fail is better for the caller than a refusal. One to a target that is replaced does fail, and
+// the other one, which may be warming up, would get them all.
 func (p *Pool) suspended(now time.Duration, c Criteria) *target {
 	var best *target
 	for _, t := range p.byService[c.Service] {
-		if !c.admits(t) || t.notices.paused(now) || t.ownRunning > 0 || !t.limit.Allows(now) || !t.pacer.Allows(now, t.elsewhere.recent) {
+		if !c.admits(t) || t.replaced() || t.notices.paused(now) || t.ownRunning > 0 || !t.limit.Allows(now) || !t.pacer.Allows(now, t.elsewhere.recent) {
 			continue
 		}
 		if best == nil || t.suspendedUntil < best.suspendedUntil {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -216,13 +216,17 @@
 	p.targets = map[string]*target{}
 	p.byHash = map[uint32]*target{}
 	p.byService = map[string][]*target{}
+	at := map[string]int{}
+	for _, d := range ts {
+		at[d.Address]++
+	}
 	for _, d := range ts {
 		t, ok := old[d.ID]
 		if !ok || !t.is(d.Born, d.Address) {
 			t = newTarget(p.estimator(d.Service))
 			t.credits = 1
 		}
-		t.Target = d
+		t.Target, t.shared = d, at[d.Address] > 1
 		if !ok {
 			p.restore(t)
 		}
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -305,3 +305,31 @@
 		t.Errorf("a second long prompt: got error %v, want ErrFull", err)
 	}
 }
+
+// Guards against a process that warms up, at the address of one that has ended but is still listed,
+// and gets all requests that are meant for the other.
+func TestReplacedTargetIsProbedOnly(t *testing.T) {
+	for _, c := range []struct {
+		outcome pool.Outcome
+		address string // of another target
+		most    int
+	}{{pool.Misdirected, "a", 1}, {pool.Misdirected, "b", 100}, {pool.Unreachable, "a", 100}} {
+		p, b := newPool(1), engine("b")
+		b.Address = c.address
+		p.SetTargets([]pool.Target{engine("a"), b})
+		onlyA := prompt(100)
+		onlyA.Exclude = []string{"b"}
+		n := 0
+		for now := time.Duration(0); now < time.Second; now += 10 * time.Millisecond {
+			if _, err := p.Choose(now, onlyA); err != nil {
+				continue
+			}
+			n++
+			p.Begin(now, "a", 100)
+			p.End(now, "a", 100, c.outcome)
+		}
+		if n < min(2, c.most) || n > c.most {
+			t.Errorf("outcome %v, address %s: got %d requests in a second, want at most %d", c.outcome, c.address, n, c.most)
+		}
+	}
+}
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -26,6 +26,8 @@
 	Broken
 	// Unreachable means that no connection could be made.
 	Unreachable
+	// Misdirected means that the request was refused as one for another target.
+	Misdirected
 )
 
 // Initial estimates, used until there are responses. They affect only the first
@@ -106,6 +108,9 @@
 	backoff        time.Duration
 	// probing is true while the probe request after a suspension or a pause is in flight.
 	probing bool
+	// misdirected is true if the latest request was refused as one for another target, and shared if
+	// another target is listed with the same address.
+	misdirected, shared bool
 	// limit is the rate of requests that the target takes, and sent the number of requests
 	// that this front has sent.
 	limit limit.Limit
@@ -212,6 +217,10 @@
 	return t.elsewhere.failing == 0 || t.ownRunning == 0
 }
 
+// replaced reports whether the target has ended, as its address belongs to another one. A refusal
+// alone doesn't show that: the target may have other reasons for it.
+func (t *target) replaced() bool { return t.misdirected && t.shared }
+
 // prefillTokens returns the number of prompt tokens that are prefilled before the
 // response to a prompt begins, those of the prompt included.
 func (t *target) prefillTokens(prompt int) int {
@@ -297,7 +306,7 @@
 func (t *target) resume(now time.Duration) {
 	t.notices.taken(now)
 	t.answered(now)
-	t.probing, t.backoff, t.suspendedUntil = false, minBackoff, 0
+	t.probing, t.misdirected, t.backoff, t.suspendedUntil = false, false, minBackoff, 0
 }
 
 // suspend suspends the target and doubles the backoff. It has no effect on a target
@@ -314,6 +323,9 @@
 func (t *target) end(now time.Duration, prompt int, o Outcome) {
 	t.ownRunning = max(0, t.ownRunning-1)
 	t.ownTokens = max(0, t.ownTokens-prompt)
+	if o != Neutral && o != Broken {
+		t.misdirected = o == Misdirected
+	}
 	switch o {
 	case Good:
 		t.failureRate.add(now, 0)
@@ -332,7 +344,10 @@
 	case Broken:
 		t.failureRate.add(now, 1)
 		t.suspend(now)
-	case Unreachable:
+	case Unreachable, Misdirected:
+		if t.replaced() {
+			t.backoff = maxBackoff
+		}
 		t.suspend(now)
 		t.lost = true
 	}
--- a/io/front/notice.go
+++ b/io/front/notice.go
@@ -101,8 +101,7 @@
 }
 
 // handleNotRun handles a response which guarantees that the request has not run, unless it is
-// cut off. A misdirected request (421) reached another process than the target, so the target
-// counts as unreachable.
+// cut off. A misdirected request (421) reached another process than the target.
 func (e *exchange) handleNotRun(a *http.Response) result {
 	if err := discard(a.Body); err != nil {
 		e.broken = true
@@ -111,7 +110,7 @@
 	e.keep(a)
 	e.outcome = pool.Rejected
 	if a.StatusCode == http.StatusMisdirectedRequest {
-		e.outcome = pool.Unreachable
+		e.outcome = pool.Misdirected
 	}
 	return result{sent: true, err: fmt.Errorf("status %d: %w", a.StatusCode, errNotRun)}
 }
