--- a/core/pool/uses.go
+++ b/core/pool/uses.go
@@ -13,8 +13,8 @@
 	PromptTokens int
 	// Failing is true if that front has suspended the target.
 	Failing bool
-	// Recent is the number of requests in the last second, if the target is of a service whose
-	// targets warm up.
+	// Recent is the number of requests in the last second that count against the bound of a warm-up,
+	// if the target is of a service whose targets warm up; see warm.Pacer.Recent.
 	Recent int
 }
 
--- a/core/pool/warm.go
+++ b/core/pool/warm.go
@@ -62,6 +62,14 @@
 	}
 }
 
+// ObserveWarm records that the process that was chosen has answered a request that was sent at a time,
+// and that its response proves that it doesn't warm up.
+func (p *Pool) ObserveWarm(now, sent time.Duration, c Choice) {
+	if t := p.targets[c.ID]; t != nil && t.is(c.Born, c.Address) {
+		t.pacer.ObserveWarm(now, sent)
+	}
+}
+
 // SetWarmTerms sets how the targets of each service warm up, by the service's name.
 func (p *Pool) SetWarmTerms(m map[string]warm.Terms) {
 	p.warmTerms = m
--- a/core/pool/warm_test.go
+++ b/core/pool/warm_test.go
@@ -69,6 +69,31 @@
 	}
 }
 
+// Guards against answers that prove nothing and yet end the bound of a target, which may have turned cold
+// unnoticed: of an earlier process, to an earlier request, or before a warm-up.
+func TestOnlyWarmTargetsGetMoreThanTheBound(t *testing.T) {
+	const now = time.Minute
+	a := pool.Choice{ID: "a", Address: "a"}
+	onlyA := prompt(100)
+	onlyA.Exclude = []string{"b"}
+	for name, answer := range map[string]func(*pool.Pool){
+		"warm":            func(p *pool.Pool) { p.ObserveWarm(now, now, a) },
+		"earlier process": func(p *pool.Pool) { p.ObserveWarm(now, now, pool.Choice{ID: "a", Address: "a", Born: 1}) },
+		"earlier request": func(p *pool.Pool) { p.ObserveWarm(now, now-time.Millisecond, a) },
+		"warms up since":  func(p *pool.Pool) { p.ObserveWarm(now, now, a); p.ObserveWarming(now, a, time.Millisecond) },
+	} {
+		p := newWarmPool(1)
+		for range 23 { // nine tenths of the bound of 26
+			p.Begin(now, "a", 0)
+			p.End(now, "a", 0, pool.Neutral)
+		}
+		answer(p)
+		if _, err := p.Choose(now+10*time.Millisecond, onlyA); (err == nil) != (name == "warm") {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+}
+
 // Guards against warm-ups that a front learns late: from the list, a response, a peer, the return of a
 // target that was lost, or the end of a drain. A front without units sends such a target nothing.
 func TestSignsOfAWarmUp(t *testing.T) {
--- a/core/warm/fleet_test.go
+++ b/core/warm/fleet_test.go
@@ -61,15 +61,24 @@
 	learns time.Duration
 	// known is what peers have sent each target in a second, as of their last heartbeats.
 	known [][]int
+	// open holds the times of the requests by target that it hasn't answered.
+	open [][]time.Duration
 }
 
+// answerTime is the time after which a warm target answers.
+const answerTime = 100 * time.Millisecond
+
 // fleet simulates a data centre whose targets all come back cold at time 0, in an overload: its fronts
 // have more requests than the targets may get.
 type fleet struct {
 	design  design
 	fronts  []*front
 	targets []warm.Target
-	random  *rand.Rand
+	// cold is when the targets turn cold. Until then they answer. If coldRate isn't 0, a front has
+	// so many requests a second from then on.
+	cold     time.Duration
+	coldRate float64
+	random   *rand.Rand
 	// sent are the times of the requests by target.
 	sent [][]time.Duration
 	// members returns the fronts that the front i counts as serving.
@@ -88,6 +97,7 @@
 		}
 		for range f.targets {
 			o.pacers = append(o.pacers, warm.NewPacer(terms))
+			o.open = append(o.open, nil)
 		}
 		for range fronts {
 			o.known = append(o.known, make([]int, targets))
@@ -109,6 +119,9 @@
 // run simulates the warm-up with a number of requests a second at each front.
 func (f *fleet) run(perSecond float64) {
 	for now := time.Duration(0); now < length; now += step {
+		if f.coldRate > 0 && now >= f.cold {
+			perSecond = f.coldRate
+		}
 		for i, o := range f.fronts {
 			f.act(i, o, now, perSecond)
 		}
@@ -121,6 +134,13 @@
 
 func (f *fleet) act(i int, o *front, now time.Duration, perSecond float64) {
 	t := now + o.offset
+	for k, open := range o.open {
+		for len(open) > 0 && open[0] < f.cold && now >= open[0]+answerTime {
+			o.pacers[k].ObserveWarm(t, open[0]+o.offset)
+			open = open[1:]
+		}
+		o.open[k] = open
+	}
 	if now%(50*time.Millisecond) == 0 {
 		own := map[string]int{}
 		if now-o.started >= joinTime {
@@ -144,6 +164,7 @@
 		if o.pacers[k].Allows(t, n) {
 			o.pacers[k].Take(t)
 			f.sent[k] = append(f.sent[k], now)
+			o.open[k] = append(o.open[k], now)
 			return
 		}
 	}
@@ -162,11 +183,13 @@
 	}
 }
 
-// highest returns the largest number of requests that a target got in any second.
+// highest returns the largest number of requests that a target got in any second while it was cold.
 func (f *fleet) highest() int {
 	m := 0
 	for _, ts := range f.sent {
 		slices.Sort(ts)
+		from, _ := slices.BinarySearch(ts, f.cold)
+		ts = ts[from:]
 		for i, t := range ts {
 			j, _ := slices.BinarySearch(ts, t+time.Second)
 			m = max(m, j-i)
@@ -239,6 +262,46 @@
 	}
 }
 
+// Guards against targets that get no more than while they warm up although they have long been warm: where
+// they can serve 40 requests a second, fronts refused what exceeded nine tenths of the bound.
+func TestWarmTargetsGetMoreThanTheBound(t *testing.T) {
+	for _, n := range []int{1, 3, 5} {
+		f := newFleet(designs[0], n, 3, 0, rand.New(rand.NewPCG(1, uint64(n))))
+		f.cold = length
+		for _, o := range f.fronts {
+			o.learns = length
+		}
+		const perSecond = 3 * 40
+		f.run(perSecond / float64(n))
+		got := 0
+		for _, ts := range f.sent {
+			got += len(ts)
+		}
+		if want := 0.85 * perSecond * length.Seconds(); float64(got) < want {
+			t.Errorf("%d fronts: targets got %d requests, want at least %.0f", n, got, want)
+		}
+	}
+}
+
+// Guards against targets that answer 40 requests a second and turn cold unnoticed: from then on requests
+// hold the slots for 0.45 s, which makes 20 a second, and they may get no more than the bound.
+func TestBusyTargetsTurnColdWithoutNotice(t *testing.T) {
+	for _, n := range []int{11, 30, 68} {
+		for seed := range uint64(5) {
+			f := newFleet(designs[0], n/3+1, 18, 2*time.Second, rand.New(rand.NewPCG(seed, uint64(n))))
+			f.cold = length / 3
+			for _, o := range f.fronts {
+				o.learns += f.cold
+			}
+			f.coldRate = 18 * 20 / float64(n/3+1)
+			f.run(18 * 40 / float64(n/3+1))
+			if h := f.highest(); float64(h) > terms.Bound() {
+				t.Errorf("%d fronts, seed %d: a target got %d requests in a second, want at most %.0f", n, seed, h, terms.Bound())
+			}
+		}
+	}
+}
+
 // Guards the bound against clocks that differ, fronts that restart or die and peers that notice it at
 // different times: a target that is known to warm up gets no more than the bound.
 func TestBoundProperty(t *testing.T) {
--- a/core/warm/warm.go
+++ b/core/warm/warm.go
@@ -10,7 +10,9 @@
 //
 // A target that isn't known to warm up may begin to at any moment, and a front may learn that late.
 // So fronts also exchange what they have sent each target in the last second, and stop a little
-// below the bound whether it warms up or not.
+// below the bound whether it warms up or not. An answer that names no warm-up proves that the
+// target was warm when it got the request: what was sent until then no longer counts, except for as
+// much as may be sent before the peers know of it. A warm target thus gets what it can serve.
 //
 // Units are assigned to all fronts that may be running, live or not, with equal weights. Fronts
 // on both sides of a partition then agree on who owns which unit, and a front's demand, which
@@ -23,15 +25,23 @@
 //	p := warm.NewPacer(t)
 //	p.Extend(now, now+2*time.Second) // as the target's response states
 //	p.SetUnits(now, own, t.Units(slots))
+//	p.ObserveWarm(now, sent) // as another response proves
 //	if p.Allows(now, elsewhere) {
 //		p.Take(now)
 //	}
 package warm
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// maxWarming bounds how long a target counts as warming after one report of it.
-const maxWarming = time.Minute
+const (
+	// maxWarming bounds how long a target counts as warming after one report of it.
+	maxWarming = time.Minute
+	// never is the time of what has not happened, before any other.
+	never = time.Duration(math.MinInt64)
+)
 
 // Terms are how the targets of a service warm up. The zero Terms are those of targets that
 // need no warm-up.
@@ -82,6 +92,10 @@
 // rest covers what they have sent since their last heartbeats.
 const knownShare = 0.9
 
+// unknownShare is the share of a front's requests of the last second that its peers may not know of,
+// as it sent them since its last heartbeat.
+const unknownShare = 1.0 / 8
+
 // room reports whether a target may get one more request, after a number of them in the last second
 // from all fronts, as far as is known. One that isn't known to warm up could begin to without
 // notice, and must not get more than the bound then either.
@@ -99,11 +113,13 @@
 	updated time.Duration
 	// sent counts this front's requests in the last second.
 	sent Window
+	// warmAsOf is when the latest request was sent that a warm target is known to have got.
+	warmAsOf time.Duration
 }
 
 // NewPacer returns the Pacer of a target that isn't known to warm up, and that the front owns no
 // units of.
-func NewPacer(t Terms) *Pacer { return &Pacer{terms: t} }
+func NewPacer(t Terms) *Pacer { return &Pacer{terms: t, warmAsOf: never} }
 
 // SetTerms replaces the terms.
 func (p *Pacer) SetTerms(t Terms) { p.terms = t }
@@ -120,7 +136,7 @@
 	}
 	news := !p.Warming(now)
 	if news {
-		p.tokens, p.updated = 0, now
+		p.tokens, p.updated, p.warmAsOf = 0, now, never
 	}
 	p.until = until
 	return news
@@ -132,6 +148,15 @@
 // Warming reports whether the target warms up.
 func (p *Pacer) Warming(now time.Duration) bool { return p.terms.Paced() && now < p.until }
 
+// ObserveWarm records that the target has answered a request that was sent at a time, and that the
+// answer proves that it doesn't warm up. It has no effect while the target is known to warm up, as
+// the answer may be late.
+func (p *Pacer) ObserveWarm(now, sent time.Duration) {
+	if !p.Warming(now) {
+		p.warmAsOf = max(p.warmAsOf, sent)
+	}
+}
+
 // SetUnits sets how many of all units this front owns.
 func (p *Pacer) SetUnits(now time.Duration, own, all int) {
 	p.refill(now)
@@ -148,13 +173,13 @@
 	p.updated = max(p.updated, now)
 }
 
-// Allows reports whether the front may send a request now. Elsewhere is the number of requests that
-// other fronts have sent the target in the last second, as far as is known.
+// Allows reports whether the front may send a request now. Elsewhere is the sum of what Recent
+// returns at the other fronts, as far as is known.
 func (p *Pacer) Allows(now time.Duration, elsewhere int) bool {
 	if !p.terms.Paced() {
 		return true
 	}
-	if !p.terms.room(p.sent.Len(now) + elsewhere) {
+	if !p.terms.room(p.Recent(now) + elsewhere) {
 		return false
 	}
 	if !p.Warming(now) {
@@ -176,5 +201,12 @@
 	}
 }
 
-// Recent returns the number of requests that this front has sent in the last second.
-func (p *Pacer) Recent(now time.Duration) int { return p.sent.Len(now) }
+// Recent returns the number of this front's requests in the last second that the target may have got
+// while it warmed up, and of those that may follow before the peers know of them.
+func (p *Pacer) Recent(now time.Duration) int {
+	n := p.sent.Len(now)
+	if p.Warming(now) {
+		return n
+	}
+	return min(n, p.sent.Since(now, p.warmAsOf)+int(math.Ceil(unknownShare*float64(n))))
+}
--- a/core/warm/window.go
+++ b/core/warm/window.go
@@ -23,6 +23,16 @@
 	return len(w.times)
 }
 
+// Since returns the number of requests in the last second that were sent later than a time.
+func (w *Window) Since(now, after time.Duration) int {
+	w.prune(now)
+	n := 0
+	for n < len(w.times) && w.times[len(w.times)-1-n] > after {
+		n++
+	}
+	return n
+}
+
 func (w *Window) prune(now time.Duration) {
 	n := 0
 	for n < len(w.times) && now-w.times[n] >= window {
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -173,6 +173,8 @@
 	kept bool
 	// sameProcess is true if the response proves that the target is the process that was chosen.
 	sameProcess bool
+	// warm is true if the response also proves that the target doesn't warm up.
+	warm bool
 	// unexpected is true if the connection carried a response to another request, or one without
 	// an id: a further one couldn't be attributed.
 	unexpected bool
@@ -301,6 +303,7 @@
 		r := q.front.codec.DecodeReply(a.StatusCode, a.Header)
 		if r.ID == q.call.ID || r.ID == "" && !e.conn.Carried {
 			e.sameProcess, e.unexpected = r.SameProcess, e.unexpected || r.ID == ""
+			e.warm = r.SameProcess && r.Warming <= 0 && r.WarmingErr == nil
 			e.observeLimit(a.StatusCode, r)
 			e.observeNotices(a.StatusCode, r)
 			return a, r, nil
@@ -387,7 +390,7 @@
 func (e *exchange) recordFirstByte() {
 	q := e.request
 	d := time.Since(e.started)
-	n, same := e.prompt, e.sameProcess
+	n, same, warm := e.prompt, e.sameProcess, e.warm
 	e.prompt = 0
 	if q.summary.firstByte == 0 {
 		q.summary.firstByte = time.Since(q.arrived)
@@ -396,6 +399,9 @@
 		if same {
 			s.pool.ObserveProcess(e.choice)
 		}
+		if warm {
+			s.pool.ObserveWarm(now, now-time.Since(e.started), e.choice)
+		}
 		s.pool.ObserveFirstByte(now, e.choice.ID, n, e.choice.PrefillTokens, d)
 		s.changed = true
 	})
