--- a/internal/soak/poison_test.go
+++ b/internal/soak/poison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -323,10 +324,12 @@
 
 // checkSound checks that from two contactTimes after the last crash that counts, while the
 // poisoned part still comes, sound requests are served at least half as often as before the
-// first crash.
+// first crash. While all replicas of streams are down, drained, limited or warming up, it asks for half of
+// what their rates permit.
 func (h *harness) checkSound(first, last time.Time) {
 	var sent, served [2]float64 // before and after
 	var ready [fronts]bool
+	asked := 0.0
 	os := slices.Clone(h.outcomes)
 	slices.SortFunc(os, func(a, b outcome) int { return a.sent.Compare(b.sent) })
 	for _, o := range os {
@@ -339,18 +342,55 @@
 		i := 0
 		if after {
 			i = 1
+			asked += h.permitted(o)
 		}
 		sent[i]++
 		if ok {
 			served[i]++
 		}
 	}
-	h.t.Logf("sound requests at undisturbed fronts: %.0f of %.0f served before the first crash, %.0f of %.0f in the end", served[0], sent[0], served[1], sent[1])
-	if min(sent[0], sent[1]) >= fewSound && served[1]/sent[1] < served[0]/sent[0]/2 {
-		h.t.Errorf("%.0f of %.0f sound requests are served from %v after the crashes, but %.0f of %.0f before", served[1], sent[1], 2*contactTime, served[0], sent[0])
+	h.t.Logf("sound requests at undisturbed fronts: %.0f of %.0f served before the first crash, %.0f of %.0f in the end, where replicas permitted %.1f", served[0], sent[0], served[1], sent[1], asked)
+	if min(sent[0], sent[1]) >= fewSound && served[1]/asked < served[0]/sent[0]/2 {
+		h.t.Errorf("%.0f of %.0f sound requests, of which replicas permitted %.1f, are served from %v after the crashes, but %.0f of %.0f before", served[1], sent[1], asked, 2*contactTime, served[0], sent[0])
 	}
 }
 
+// permitted returns the share of the sound attempts in the second around an attempt that the
+// replicas of streams permit: 1 while any of them serves that has neither a limit nor a warm-up.
+func (h *harness) permitted(o outcome) float64 {
+	rate := 0.0
+	for i, r := range h.replicas {
+		if r.Events == 0 || r.from.After(o.sent) || !r.crashed.IsZero() && !r.crashed.After(o.sent) {
+			continue
+		}
+		n, drained := math.Inf(1), false
+		if !r.from.IsZero() && o.sent.Before(r.from.Add(warmUpTime)) {
+			n = warmUpRate
+		}
+		for _, d := range h.drains {
+			if zones[r.slot] == drainedZone && !o.sent.Before(d.from) && o.sent.Before(d.to.Add(warmUpTime)) {
+				n = warmUpRate
+				drained = drained || o.sent.Before(d.to)
+			}
+		}
+		for _, l := range h.limits {
+			if l.replica == i && !o.sent.Before(l.from) && o.sent.Before(l.to) {
+				n = min(n, l.perSecond)
+			}
+		}
+		if !drained {
+			rate += n
+		}
+	}
+	sent := 0.0
+	for _, a := range h.outcomes {
+		if strings.HasPrefix(a.path, "/chat/") && !a.poisoned && a.sent.Sub(o.sent).Abs() < time.Second/2 {
+			sent++
+		}
+	}
+	return min(1, rate/sent)
+}
+
 // overlapped reports whether a disturbance of its front, or of the relay of the store or of a
 // replica of streams, overlaps an attempt.
 func (h *harness) overlapped(o outcome) bool {
