--- a/core/event/event.go
+++ b/core/event/event.go
@@ -63,6 +63,8 @@
 	rest []byte
 	// line is where in rest the last line begins. The lines before it are not empty.
 	line int
+	// begun is true after the first event, before which there may be a byte order mark.
+	begun bool
 }
 
 // New returns a Splitter at the start of a stream whose events have up to MaxSize bytes.
@@ -85,9 +87,14 @@
 		case n < 0:
 			return es, nil
 		}
-		t := bytes.Clone(s.rest[:n])
-		es = append(es, parse(t))
-		s.rest, s.line = s.rest[n:], 0
+		e := Event{Raw: bytes.Clone(s.rest[:n])}
+		lines := e.Raw
+		if !s.begun {
+			lines = e.WithoutMark().Raw
+		}
+		e.ID, e.Kind = parse(string(lines))
+		es = append(es, e)
+		s.rest, s.line, s.begun = s.rest[n:], 0, true
 	}
 }
 
@@ -114,32 +121,40 @@
 	}
 }
 
-// parse returns the event of a block of lines. Fields that this package doesn't know may come first, under
-// names in lower case.
-func parse(raw []byte) Event {
-	e := Event{Raw: raw, Kind: Comment}
+// byteOrderMark may begin a stream, and is no part of its first line.
+const byteOrderMark = "\ufeff"
+
+// WithoutMark returns the event without a byte order mark before it. Callers would take the mark for a part
+// of the first line where the event is not the first one of their stream.
+func (e Event) WithoutMark() Event {
+	e.Raw = bytes.TrimPrefix(e.Raw, []byte(byteOrderMark))
+	return e
+}
+
+// parse returns the id and the kind of a block of lines. Fields that this package doesn't know may come
+// first, under names in lower case.
+func parse(block string) (id string, k Kind) {
+	k = Comment
 	unknown := false
-	for l := range strings.Lines(strings.TrimPrefix(string(raw), "\ufeff")) {
+	for l := range strings.Lines(block) {
 		n, v, ok := strings.Cut(strings.TrimRight(l, "\r\n"), ":")
 		switch n {
 		case "", "retry": // the end of the block, a comment or a reconnection time
 		case "id":
-			e.ID = strings.TrimPrefix(v, " ")
-			e.Kind = Message
+			id, k = strings.TrimPrefix(v, " "), Message
 		case "data", "event":
-			e.Kind = Message
+			k = Message
 		default:
-			if !ok || e.Kind == Message || strings.Trim(n, nameLetters) != "" {
-				e.Kind = Malformed
-				return e
+			if !ok || k == Message || strings.Trim(n, nameLetters) != "" {
+				return id, Malformed
 			}
 			unknown = true
 		}
 	}
-	if unknown && e.Kind == Comment {
-		e.Kind = Malformed
+	if unknown && k == Comment {
+		k = Malformed
 	}
-	return e
+	return id, k
 }
 
 // nameLetters are the letters of the names of unknown fields.
--- a/core/event/event_test.go
+++ b/core/event/event_test.go
@@ -55,6 +55,15 @@
 	}
 }
 
+// Guards against a byte order mark that is taken for part of an event within a stream.
+func TestByteOrderMark(t *testing.T) {
+	const id = "\ufeffid: 1\ndata: a\n\n"
+	es := push(t, event.New(), []byte(id+id))
+	if len(es) != 2 || string(es[0].Raw) != id || es[0].ID != "1" || string(es[0].WithoutMark().Raw) != id[3:] || es[1].Kind != event.Malformed {
+		t.Errorf("got %+q", es)
+	}
+}
+
 // A target may send an event that never ends. It is given up at MaxSize, and the work for it
 // doesn't grow with the square of its size.
 func TestEventWithoutEndIsGivenUp(t *testing.T) {
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -77,6 +77,9 @@
 		for _, v := range es {
 			size += len(v.Raw)
 		}
+		if e.continues && len(es) > 0 {
+			es[0] = es[0].WithoutMark()
+		}
 		if !e.continues || e.begun {
 			e.first = append(e.first, es...)
 		}
