--- a/core/event/event.go
+++ b/core/event/event.go
@@ -132,7 +132,7 @@
 }
 
 // parse returns the id and the kind of a block of lines. Fields that this package doesn't know may come
-// first, under names in lower case.
+// first, under names in lower case. Two ids are of two events, between which the empty line is missing.
 func parse(block string) (id string, k Kind) {
 	k = Comment
 	unknown := false
@@ -141,6 +141,9 @@
 		switch n {
 		case "", "retry": // the end of the block, a comment or a reconnection time
 		case "id":
+			if id != "" {
+				return id, Malformed
+			}
 			id, k = strings.TrimPrefix(v, " "), Message
 		case "data", "event":
 			k = Message
