--- a/core/event/sequence.go
+++ b/core/event/sequence.go
@@ -62,16 +62,14 @@
 // this stream, or 0 if it is unknown.
 func (s Sequence) Step() uint64 { return s.seen }
 
-// limit returns the largest difference to the first id of another response. If nothing is known, ids
+// reaches reports whether the first event of another response can have the id n. If nothing is known, ids
 // are taken for consecutive, or for multiples of the first one.
-func (s Sequence) limit() uint64 {
-	switch n := max(s.step, s.seen); {
-	case n > 0:
-		return n
-	case s.single:
-		return max(1, s.number)
+func (s Sequence) reaches(n uint64) bool {
+	d := n - s.number
+	if l := max(s.step, s.seen); l > 0 {
+		return d <= l
 	}
-	return 1
+	return d == 1 || s.single && d == s.number
 }
 
 // Next returns the place after an event. It fails with an error that wraps ErrMalformed or ErrOrder
@@ -92,7 +90,7 @@
 		return o, nil
 	case s.numbered && (!ok || n <= s.number), s.last == e.ID:
 		return s, fmt.Errorf("%w: %q after %q", ErrOrder, e.ID, s.last)
-	case s.numbered && s.joined && n-s.number > s.limit():
+	case s.numbered && s.joined && !s.reaches(n):
 		return s, fmt.Errorf("%w: %q after %q of another response", ErrOrder, e.ID, s.last)
 	case s.numbered && !s.joined:
 		o.seen = max(o.seen, n-s.number)
--- a/core/event/sequence_test.go
+++ b/core/event/sequence_test.go
@@ -79,6 +79,8 @@
 		{event.Sequence{}, "7 14 | 18", true}, // a last event with fewer tokens
 		{event.Sequence{}, "7 14 | 28", false},
 		{event.Sequence{}, "100 101 | 103", false},
+		{event.Sequence{}, "100 | 101", true},
+		{event.Sequence{}, "100 | 103", false},
 		{event.Sequence{}, "1 2 5 | 8", true}, // ids that rise by up to 3
 		{event.Sequence{}, "1 2 x", false},
 		{event.Sequence{}, "a b c", true},
