--- a/io/front/crash.go
+++ b/io/front/crash.go
@@ -59,26 +59,27 @@
 }
 
 // cutOff reports whether a response whose end is the end of the connection was cut off by the end of
-// its target's process: the target isn't leaving, and its host refuses connections. If the target can't
-// be reached, a request that another one may answer counts as cut off.
-func (e *exchange) cutOff(a *http.Response) bool {
-	if !unframed(a) {
-		return false
-	}
+// its target's process: the target isn't leaving, and refuses connections.
+func (e *exchange) cutOff(a *http.Response) bool { return unframed(a) && e.stays() && e.refuses() }
+
+// stays reports whether the target is listed and isn't leaving.
+func (e *exchange) stays() bool {
 	q, c := e.request, e.choice
-	stays := actor.Ask(q.front.loop, func(_ time.Duration, s *state) bool {
+	return actor.Ask(q.front.loop, func(_ time.Duration, s *state) bool {
 		return slices.ContainsFunc(s.pool.Targets(q.service), func(t pool.Target) bool { return t.ID == c.ID && !t.Leaving })
 	})
-	if !stays {
-		return false
-	}
+}
+
+// refuses reports whether the target's host refuses connections. If it can't be reached, the result is true
+// for a request that another target may answer.
+func (e *exchange) refuses() bool {
 	for range crashChecks {
-		err := q.front.dialer.Reach(e.parent, c.Address)
+		err := e.request.front.dialer.Reach(e.parent, e.choice.Address)
 		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
 			return err != nil
 		}
 	}
-	return q.route.Repeatable()
+	return e.request.route.Repeatable()
 }
 
 // runCrashCheck tries to connect to a target. It has crashed if its host refuses connections, or
