--- a/io/front/request.go
+++ b/io/front/request.go
@@ -103,6 +103,8 @@
 	// fallback is a target's server error, or its answer without events, which is forwarded if no other target
 	// answers the request.
 	fallback *response
+	// mayHaveMore is true if a target that was asked may have had the rest of the stream.
+	mayHaveMore bool
 	// origin is what began the stream that the caller resumes; nil for a new stream.
 	origin *origin.Origin
 	// basis is from what the origin is known, if the caller resumes a stream.
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -51,6 +51,8 @@
 	errPartialEvent = errors.New("stream ended in the middle of an event")
 	errNoEvents     = errors.New("stream ended before its first event")
 	errCutOff       = errors.New("target ended with the connection that its response was to end with")
+	// errNoRest is errNoEvents of a whole response of a target that was asked to go on with a stream.
+	errNoRest       = fmt.Errorf("%w", errNoEvents)
 	errDeclined     = errors.New("target declined to go on with the response")
 	errSilenceEnded = errors.New("silent target has gone on")
 	errBodyTooLong  = errors.New("response body is too long")
@@ -102,11 +104,12 @@
 	if v.mayHaveRun {
 		q.mayHaveRun, q.version = true, e.choice.Version
 	}
-	switch {
-	case e.fallback != nil:
+	q.mayHaveMore = q.mayHaveMore || v.mayHaveRun && !errors.Is(v.err, errNoRest)
+	if e.fallback != nil {
 		q.fallback = e.fallback
-	case v.mayHaveRun && q.fallback != nil && q.fallback.status < http.StatusMultipleChoices:
-		q.fallback = nil // this target may have had the rest of the stream
+	}
+	if q.mayHaveMore && q.fallback != nil && q.fallback.status < http.StatusMultipleChoices {
+		q.fallback = nil
 	}
 }
 
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -132,7 +132,7 @@
 		if !e.continues && !e.second {
 			e.fallback = e.emptyRest()
 		}
-		return errNoEvents
+		return errNoRest
 	}
 	return nil
 }
