--- a/core/event/sequence_test.go
+++ b/core/event/sequence_test.go
@@ -15,15 +15,18 @@
 // Guards against the text of an answer that is no event, and against comments that count as events.
 func TestKinds(t *testing.T) {
 	for text, want := range map[string]event.Kind{
-		"id: 1\ndata: a\n\n":                   event.Message,
-		"data\n\n":                             event.Message,
-		"id\n\n":                               event.Message,
-		"event: end\r\ndata: a\r\n\r\n":        event.Message,
-		"weight-versions: 3\nid: 1\ndata:\n\n": event.Message,
-		"\ufeffid: 1\ndata: a\n\n":             event.Message,
-		"\n":                                   event.Comment,
-		": alive\n\n":                          event.Comment,
-		"retry: 10\r\n\r\n":                    event.Comment,
+		"id: 1\ndata: a\n\n":                       event.Message,
+		"data\n\n":                                 event.Message,
+		"id\n\n":                                   event.Message,
+		"event: end\r\ndata: a\r\n\r\n":            event.Message,
+		"weight-versions: 3\nid: 1\ndata:\n\n":     event.Message,
+		"\ufeffid: 1\ndata: a\n\n":                 event.Message,
+		"id:\nid: 1\n\n":                           event.Message,
+		"id: 1\ndata: a\nid: 2\ndata: b\n\n":       event.Malformed,
+		"id: 1\ndata: a\nid: 1\ndata: a\n\n":       event.Malformed,
+		"\n":                                       event.Comment,
+		": alive\n\n":                              event.Comment,
+		"retry: 10\r\n\r\n":                        event.Comment,
 		"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n\r\n": event.Malformed,
 		"{\"error\": 1}\n\n":                       event.Malformed,
 		"internal error\n\n":                       event.Malformed,
@@ -76,6 +79,8 @@
 		{event.Sequence{}, "7 14 | 18", true}, // a last event with fewer tokens
 		{event.Sequence{}, "7 14 | 28", false},
 		{event.Sequence{}, "100 101 | 103", false},
+		{event.Sequence{}, "100 | 101", true},
+		{event.Sequence{}, "100 | 103", false},
 		{event.Sequence{}, "1 2 5 | 8", true}, // ids that rise by up to 3
 		{event.Sequence{}, "1 2 x", false},
 		{event.Sequence{}, "a b c", true},
