--- a/io/front/takeover.go
+++ b/io/front/takeover.go
@@ -193,11 +193,20 @@
 		q.front.log("kept", "request stays at silent target", "request-id", q.call.ID, "target", e.choice.ID, "error", err.Error())
 		select {
 		case <-ctx.Done():
-		case <-time.After(takeoverInterval):
+		case <-time.After(takeoverWait(err)):
 		}
 	}
 }
 
+// takeoverWait returns how long to wait after an attempt to move a request has failed. A third target is
+// asked at once if the second fell silent, too: that has taken much of the request's time.
+func takeoverWait(err error) time.Duration {
+	if errors.Is(err, errStalled) {
+		return 0
+	}
+	return takeoverInterval
+}
+
 // reportSilence reports a silent target to the pool. Movable is true if the request may be sent
 // to another target.
 func (e *exchange) reportSilence(movable bool) {
