--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -170,6 +170,8 @@
 type Arrival struct {
 	ID string
 	At time.Time
+	// Misdirected is true if it names another replica, so that it was answered with 421.
+	Misdirected bool
 }
 
 // Arrivals returns all requests that reached the replica, in order.
@@ -246,7 +248,7 @@
 	f = r.faults.take()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals = append(r.arrivals, Arrival{q.Header.Get("Attempt-Id"), time.Now()})
+	r.arrivals = append(r.arrivals, Arrival{q.Header.Get("Attempt-Id"), time.Now(), q.Header.Get("Expect-Replica") != r.ID})
 	if (!f.turnsAway() || f == TurnsAwayRan) && q.Header.Get("Expect-Replica") == r.ID {
 		id := q.Header.Get("Attempt-Id")
 		r.runs[id]++
