--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -14,7 +14,6 @@
 // cases are the cases by name. Each returns whether its rule was broken.
 var cases = map[string]func(*world) (bool, error){
 	"leaving":          leaving,
-	"crashed-version":  crashedVersion,
 	"memory":           memory,
 	"restored-drain":   restoredDrain,
 	"restored-version": restoredVersion,
