--- a/review/stand/restored.go
+++ b/review/stand/restored.go
@@ -26,10 +26,10 @@
 		c := w.store.copied()
 		time.Sleep(copyAge)
 		at := x.drain()
-		until(at, 4*time.Second)
+		until(at, 3500*time.Millisecond)
 		x.awaitBeat()
 		w.restore(&c)
-		until(at, 6*time.Second)
+		time.Sleep(1400 * time.Millisecond)
 		x.exit(true)
 		time.Sleep(3 * time.Second)
 		return nil
