--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -15,6 +16,9 @@
 	id, method, path string
 	limit            time.Duration
 	body             []byte
+	// last is the id of the last event of a stream that is taken up again, and first the id of the request
+	// that brought its first event; "" in a new request.
+	last, first string
 }
 
 // outcome is what a requester has got.
@@ -26,7 +30,9 @@
 	// whole is true if the answer has come to its proper end.
 	whole bool
 	body  string
-	err   error
+	// retryAfter is the time that a refusal names; 0 if it names none.
+	retryAfter time.Duration
+	err        error
 }
 
 // events returns the texts of the complete events of a stream.
@@ -62,6 +68,9 @@
 	if strings.HasPrefix(q.path, "/plan") {
 		head += fmt.Sprintf("Model: m\r\nToken-Count: 600,200\r\nPrompt-Prefix: 5c1e07a2:500,%s:100\r\n", q.id)
 	}
+	if q.first != "" {
+		head += fmt.Sprintf("Last-Event-Id: %s\r\nResumes: %s\r\n", q.last, q.first)
+	}
 	if _, o.err = io.WriteString(c.net, head+"\r\n"); o.err == nil {
 		_, o.err = c.net.Write(q.body)
 	}
@@ -71,6 +80,8 @@
 			var b []byte
 			b, o.err = io.ReadAll(a.Body)
 			o.status, o.stamp, o.body, o.whole = a.StatusCode, a.Header.Get("Replica-Stamp"), string(b), o.err == nil
+			n, _ := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+			o.retryAfter = time.Duration(n * float64(time.Second))
 		}
 	}
 	o.ended = time.Now()
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -15,6 +15,7 @@
 var cases = map[string]func(*world) (bool, error){
 	"leaving":          leaving,
 	"memory":           memory,
+	"restart":          restart,
 	"restored-drain":   restoredDrain,
 	"restored-version": restoredVersion,
 }
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -32,6 +33,8 @@
 	listener           net.Listener
 	conns              map[net.Conn]bool
 	stopBeat           chan struct{}
+	// runs holds when each run began and ended; the latter is zero while it goes on.
+	runs map[string][2]time.Time
 	// drained is when the store accepted that the replica is draining.
 	drained time.Time
 }
@@ -51,6 +54,7 @@
 	r.addr, r.listener, r.version = l.Addr().String(), l, version
 	r.born, r.sequence, r.draining, r.up = time.Now().UnixMilli(), 0, false, true
 	r.drained = time.Time{}
+	r.runs = map[string][2]time.Time{}
 	r.conns, r.stopBeat = map[net.Conn]bool{}, make(chan struct{})
 	r.write()
 	r.world.note("replica %s starts, version %s, born %d, address %s", r.id, version, r.born, r.addr)
@@ -168,7 +172,7 @@
 	version, born, draining := r.version, r.born, r.draining
 	r.mu.Unlock()
 	if q.URL.Path == "/report" {
-		t := fmt.Sprintf(`{"stage":"colocated","models":[],"busy":false,"sequence":1,"queued":0,"running":0,"kv_used":0,"kv_total":90000,"kv_handles":0,"born":%d,"runs":[]}`, born)
+		t := r.report(born)
 		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(t), t)
 		return err == nil
 	}
@@ -177,6 +181,7 @@
 		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
 		return err == nil
 	}
+	defer r.run(id)()
 	r.world.arrived(r, id, version, q.Header.Get("Last-Event-Id"), size)
 	leaving := ""
 	if draining {
@@ -192,6 +197,40 @@
 	return r.stream(c, head, version, q.Header.Get("Last-Event-Id"))
 }
 
+// reportAge is how old a report is.
+const reportAge = 500 * time.Millisecond
+
+// run records a run, and returns the function that records its end.
+func (r *replica) run(id string) (end func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[id] = [2]time.Time{time.Now()}
+	runs := r.runs
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		runs[id] = [2]time.Time{runs[id][0], time.Now()}
+	}
+}
+
+// report returns the replica's report, which is as of reportAge ago.
+func (r *replica) report(born int64) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := time.Now().Add(-reportAge)
+	runs := [][]any{}
+	for id, t := range r.runs {
+		if t[0].Before(at) && (t[1].IsZero() || t[1].After(at)) {
+			runs = append(runs, []any{id, 600, 1, 0})
+		}
+	}
+	b, _ := json.Marshal(map[string]any{
+		"stage": "colocated", "models": []any{}, "busy": false, "sequence": 1, "queued": 0, "running": len(runs),
+		"kv_used": 600 * len(runs), "kv_total": 606369, "kv_handles": 0, "born": born, "state": "ready", "runs": runs,
+	})
+	return string(b)
+}
+
 // stream sends the events that follow the one with the id last.
 func (r *replica) stream(c net.Conn, head, version, last string) bool {
 	from, _ := strconv.Atoi(last)
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -104,10 +104,38 @@
 // process is a front.
 type process struct {
 	name, callers, readiness string
+	settings, log            string
 	command                  *exec.Cmd
 	done                     chan struct{}
 }
 
+// start starts the process with the command of the deploy file.
+func (f *process) start() error {
+	log, err := os.OpenFile(f.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	f.command, f.done = exec.Command("target/front"), make(chan struct{})
+	f.command.Env = append(os.Environ(), "KINGCUPSTAND_BOOT="+f.settings)
+	f.command.Stdout, f.command.Stderr = log, log
+	if err := f.command.Start(); err != nil {
+		return err
+	}
+	c, done := f.command, f.done
+	go func() {
+		_ = c.Wait()
+		close(done)
+	}()
+	return nil
+}
+
+// kill ends the process at once.
+func (f *process) kill() {
+	_ = f.command.Process.Kill()
+	<-f.done
+}
+
 // freePort returns a port that is free on an address.
 func freePort(ip string) (string, error) {
 	l, err := net.Listen("tcp4", ip+":0")
@@ -135,7 +163,7 @@
 	}
 	for i := range n {
 		ip := fmt.Sprintf("127.0.0.%d", 11+i)
-		f := &process{name: fmt.Sprintf("front-%d", i+1), callers: ip + ":" + ports[0], readiness: ip + ":" + ports[1], done: make(chan struct{})}
+		f := &process{name: fmt.Sprintf("front-%d", i+1), callers: ip + ":" + ports[0], readiness: ip + ":" + ports[1]}
 		settings := filepath.Join(w.folder, f.name+".yaml")
 		text := fmt.Sprintf(`name: %q
 region: "r1"
@@ -161,20 +189,10 @@
 		if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 			return err
 		}
-		log, err := os.Create(filepath.Join(w.folder, f.name+".log"))
-		if err != nil {
+		f.settings, f.log = settings, filepath.Join(w.folder, f.name+".log")
+		if err := f.start(); err != nil {
 			return err
 		}
-		f.command = exec.Command("target/front")
-		f.command.Env = append(os.Environ(), "KINGCUPSTAND_BOOT="+settings)
-		f.command.Stdout, f.command.Stderr = log, log
-		if err := f.command.Start(); err != nil {
-			return err
-		}
-		go func() {
-			_ = f.command.Wait()
-			close(f.done)
-		}()
 		w.fronts = append(w.fronts, f)
 	}
 	for _, f := range w.fronts {
@@ -204,8 +222,9 @@
 // close ends all processes.
 func (w *world) close() {
 	for _, f := range w.fronts {
-		_ = f.command.Process.Kill()
-		<-f.done
+		if f.command != nil {
+			f.kill()
+		}
 	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(w.folder)
