--- a/review/stand/restored.go
+++ b/review/stand/restored.go
@@ -10,7 +10,7 @@
 	// copyAge is how old the copy is when the replica reports.
 	copyAge = 500 * time.Millisecond
 	// away is for how long the store is away.
-	away = 300 * time.Millisecond
+	away = 100 * time.Millisecond
 )
 
 // restoredDrain restores the store from a copy of some seconds before, in which a replica that is draining
