--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -7,7 +7,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -35,6 +37,7 @@
 		return 2
 	}
 	defer w.close()
+	go w.endEarly()
 	broken, err := cases[name](w)
 	switch {
 	case err != nil:
@@ -48,6 +51,22 @@
 	return 0
 }
 
+// longest is the longest time that a case may take.
+const longest = 115 * time.Second
+
+// endEarly ends all processes at a signal, or if the case takes too long: it couldn't run then.
+func (w *world) endEarly() {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-c:
+	case <-time.After(longest):
+	}
+	w.say("the case could not run: it was ended early")
+	w.close()
+	os.Exit(2)
+}
+
 // say writes a line to the record and to standard output.
 func (w *world) say(format string, args ...any) {
 	w.note(format, args...)
