--- a/io/front/request.go
+++ b/io/front/request.go
@@ -29,12 +29,13 @@
 	// connection reaches another front.
 	stoppingRetry = 50 * time.Millisecond
 	// streamCutoff is how long after the start of a shutdown new streams are accepted, at most and
-	// as a fraction of the time until requests in flight are aborted. Load balancers have noticed
-	// by then, and a long stream would not end within the grace period.
+	// as a fraction of the time until requests in flight are aborted, and other requests whatever
+	// their time limit. Load balancers have noticed by then, and a long stream would not end within
+	// the grace period.
 	streamCutoff         = 2500 * time.Millisecond
 	streamCutoffFraction = 3
 	// minTimeLeft is the time until requests in flight are aborted below which a front that
-	// shuts down refuses new requests that are not streams.
+	// shuts down refuses all new requests.
 	minTimeLeft = 400 * time.Millisecond
 	// defaultBodyBytes is the limit of request bodies if the plan sets none.
 	defaultBodyBytes = 4 << 20
@@ -281,16 +282,18 @@
 	return d
 }
 
-// closing reports whether the front may exit before it could answer the request.
+// closing reports whether the front may exit before it could answer the request. Once load balancers have
+// noticed the shutdown, a request that is no stream is accepted only if its time limit is over by then.
 func (q *request) closing() bool {
 	at, started := q.front.abortAt.Load(), q.front.stopStarted.Load()
 	if at == nil {
 		return false
 	}
+	late := time.Since(*started) > min(streamCutoff, at.Sub(*started)/streamCutoffFraction)
 	if q.route.Kind == plan.Stream {
-		return time.Since(*started) > min(streamCutoff, at.Sub(*started)/streamCutoffFraction)
+		return late
 	}
-	return time.Until(*at) < minTimeLeft
+	return late && q.deadline.After(*at) || time.Until(*at) < minTimeLeft
 }
 
 // charge takes the request's cost from the workspace's allowance. In the same step on
