--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -190,12 +190,20 @@
 }
 
 // Reach opens a connection to the address, which then is idle. Unlike Check, it doesn't take an idle
-// connection for a sign that the target accepts new ones.
-func (d *Dialer) Reach(ctx context.Context, address string) error {
+// connection for a sign that the target accepts new ones. It returns an error that wraps ErrClosed if the
+// connection doesn't stay open for the time wait.
+func (d *Dialer) Reach(ctx context.Context, address string, wait time.Duration) error {
 	c, err := d.Open(ctx, address)
 	if err != nil {
 		return err
 	}
+	if wait > 0 {
+		time.Sleep(wait)
+		if !c.open() {
+			c.Close()
+			return fmt.Errorf("reach %s: %w", address, ErrClosed)
+		}
+	}
 	d.keep(c)
 	return nil
 }
--- a/io/dial/dial_test.go
+++ b/io/dial/dial_test.go
@@ -207,7 +207,7 @@
 	}
 	defer l.Close()
 	d := dial.New(logr.Discard())
-	if err := d.Reach(context.Background(), l.Addr().String()); err != nil {
+	if err := d.Reach(context.Background(), l.Addr().String(), 0); err != nil {
 		t.Fatal(err)
 	}
 	c, err := l.Accept()
@@ -216,7 +216,7 @@
 	}
 	defer c.Close()
 	l.Close()
-	if err := d.Reach(context.Background(), l.Addr().String()); !errors.Is(err, syscall.ECONNREFUSED) {
+	if err := d.Reach(context.Background(), l.Addr().String(), 0); !errors.Is(err, syscall.ECONNREFUSED) {
 		t.Errorf("got %v, want a refused connection", err)
 	}
 	if err := d.Check(context.Background(), l.Addr().String(), 0); err != nil {
--- a/io/front/crash.go
+++ b/io/front/crash.go
@@ -73,13 +73,36 @@
 // refuses reports whether the target's host refuses connections. If it can't be reached, the result is true
 // for a request that another target may answer.
 func (e *exchange) refuses() bool {
+	refused, reached := e.reach(0)
+	return refused || !reached && e.request.route.Repeatable()
+}
+
+// gone reports whether the target's process may have ended with a response whose end is the end of the
+// connection. A target that leaves may end at any time, and its listener shortly after its connections; it
+// may also have closed its listener before the response was whole. Then the response counts as cut off: the
+// caller of one that was whole may ask again, that of one that wasn't couldn't know.
+func (e *exchange) gone(a *http.Response) bool {
+	switch {
+	case !unframed(a):
+		return false
+	case e.stays():
+		return e.refuses()
+	}
+	time.Sleep(crashCheckWait)
+	_, reached := e.reach(crashCheckWait)
+	return !reached
+}
+
+// reach tries to connect to the target. It reports whether the target's host refuses connections, and whether
+// it accepts one that stays open for the time wait.
+func (e *exchange) reach(wait time.Duration) (refused, reached bool) {
 	for range crashChecks {
-		err := e.request.front.dialer.Reach(e.parent, e.choice.Address)
+		err := e.request.front.dialer.Reach(e.parent, e.choice.Address, wait)
 		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
-			return err != nil
+			return err != nil, err == nil
 		}
 	}
-	return e.request.route.Repeatable()
+	return false, false
 }
 
 // runCrashCheck tries to connect to a target. It has crashed if its host refuses connections, or
--- a/io/front/plain.go
+++ b/io/front/plain.go
@@ -27,7 +27,7 @@
 		e.broken = true
 		return fmt.Errorf("read response body: %w", err)
 	}
-	if n <= maxBuffered && e.cutOff(a) {
+	if n <= maxBuffered && e.gone(a) {
 		e.broken = true
 		return errCutOff
 	}
@@ -116,7 +116,7 @@
 	case err != nil:
 	case n == maxBody-maxBuffered:
 		err = errBodyTooLong
-	case e.cutOff(e.response):
+	case e.gone(e.response):
 		err = errCutOff
 	}
 	if err != nil {
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -187,7 +187,7 @@
 	if unframed(e.response) && !e.takeover.settle() {
 		return result{sent: true, mayHaveRun: true, err: errCutOff} // another target has the rest, if there is one
 	}
-	if e.mayBeCutOff() {
+	if e.begun && !e.stays() && e.gone(e.response) {
 		e.outcome = pool.Neutral
 		return result{sent: true, mayHaveRun: true, err: errCutOff}
 	}
@@ -202,13 +202,6 @@
 	return result{done: true}
 }
 
-// mayBeCutOff reports whether the process of a target that leaves has ended with its response, which shows
-// no end. It may have closed its listener before it finished, but a caller can resume a stream that was
-// whole, and can't know that one wasn't.
-func (e *exchange) mayBeCutOff() bool {
-	return unframed(e.response) && e.request.route.Repeatable() && e.begun && !e.stays() && e.refuses()
-}
-
 // open writes the status and headers, once, from the first target that has sent an event, and
 // records its version.
 func (q *request) open(a *http.Response, version string) {
