--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -18,6 +18,10 @@
 // over when the platform reports them to this front. The store may be restored from an
 // older copy and give out revisions again, so they are compared within an era only.
 //
+// Revisions order what others write; a target orders its own reports. What a target has reported
+// is not undone by an older copy of its entry: a process that leaves keeps leaving, one that has
+// ended is not used again, and an earlier process under the same id doesn't replace a later one.
+//
 // # Usage
 //
 //	l := roster.New()
@@ -33,6 +37,7 @@
 	"sort"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"google.golang.org/protobuf/proto"
 
 	"kingcupstand/schema/spec"
@@ -52,6 +57,8 @@
 
 type record struct {
 	replica *spec.Replica
+	// era is that of the platform's store in which the entry was listed last, or was found missing.
+	era uint64
 	// missing is set while the platform no longer lists the target.
 	missing bool
 	// until is when a missing target is removed.
@@ -96,11 +103,19 @@
 	settled time.Duration
 	// confirmed is when the platform last confirmed the list.
 	confirmed time.Duration
+	// ended are the processes that were removed, by ID, and doubts the listed entries that are not used,
+	// as they may be of such processes.
+	ended  *simplelru.LRU[string, ended]
+	doubts map[string]doubt
+	// outdated are entries for TakeOutdated.
+	outdated []*spec.Replica
 }
 
 // New returns an empty list at revision 0.
 func New() *List {
-	return &List{records: map[string]*record{}}
+	// It fails only if the size is not positive.
+	g, _ := simplelru.NewLRU[string, ended](maxEnded, nil)
+	return &List{records: map[string]*record{}, ended: g, doubts: map[string]doubt{}}
 }
 
 // Revision returns the platform's revision of the list, or 0 for none.
@@ -150,48 +165,108 @@
 	}
 	l.revision = d.Revision
 	as, unknown := stamp{d.Era, d.Complete}, d.Complete == 0
-	later := as.after(l.as)
+	newer := as.after(l.as)
 	if l.unknown {
-		later = !l.seen.after(as) // changes up to there don't come again
+		newer = !l.seen.after(as) // changes up to there don't come again
 	}
-	if !unknown && !later {
+	if !unknown && !newer {
 		return false // the revision is one of an earlier era, or this list was read after it
 	}
+	restored := l.restored(now, d.Era)
 	l.as, l.unknown, l.copied = as, unknown, 0
 	if as.era == l.seen.era {
 		l.copied = as.revision
 	}
 	l.confirmed = max(l.confirmed, now-age)
-	old := l.records
-	l.records = map[string]*record{}
+	listed := map[string]bool{}
 	for _, r := range d.Replicas {
-		if e := old[r.Id]; e != nil && r.Version == "" {
-			r.Version = e.replica.Version // a peer of an earlier build doesn't know it
+		listed[r.Id] = l.putPeer(now, d.Era, r)
+	}
+	for id := range l.records {
+		switch {
+		case listed[id]:
+		case restored:
+			l.drop(now, id)
+			l.markFromPeer(id)
+		default:
+			l.end(id)
 		}
-		l.put(r)
-		if r.VanishedMs > 0 {
-			e := l.records[r.Id]
-			e.missing, e.fromPeer, e.until = true, true, now+time.Duration(r.VanishedMs)*time.Millisecond
+	}
+	l.dropDoubts(d)
+	return true
+}
+
+// putPeer applies an entry of a peer's list, and reports whether the target is listed.
+func (l *List) putPeer(now time.Duration, era uint64, r *spec.Replica) bool {
+	if e := l.records[r.Id]; e != nil && r.Version == "" && r.Born == e.replica.Born {
+		r.Version = e.replica.Version // a peer of an earlier build doesn't know it
+	}
+	if r.WithheldMs > 0 {
+		if e := l.records[r.Id]; e != nil && !e.missing && processOf(e.replica).same(r) {
+			return true
 		}
+		l.doubts[r.Id] = doubt{r, era, now + time.Duration(r.WithheldMs)*time.Millisecond}
+		return false
+	}
+	if !l.put(now, era, r) {
+		return false
+	}
+	if r.VanishedMs > 0 {
+		e := l.records[r.Id]
+		e.missing, e.fromPeer, e.until = true, true, now+time.Duration(r.VanishedMs)*time.Millisecond
+	}
+	return true
+}
+
+// markFromPeer marks a target as missing in a peer's list, if it is missing.
+func (l *List) markFromPeer(id string) {
+	if e := l.records[id]; e != nil {
+		e.fromPeer = e.missing
+	}
+}
+
+// restored reports whether a list is of a later era than the one before. The restored store lacks what was
+// written in the last seconds, so that targets whose entries are missing are kept as after an outage.
+func (l *List) restored(now time.Duration, era uint64) bool {
+	if l.revision == 0 || era <= max(l.as.era, l.seen.era) {
+		return false
 	}
+	l.settled = max(l.settled, now+OutageGrace)
 	return true
 }
 
 // apply applies a full list from the platform.
 func (l *List) apply(now time.Duration, d *spec.Directory) {
-	seen := map[string]bool{}
+	l.restored(now, d.Era)
+	listed := map[string]bool{}
 	for _, r := range d.Replicas {
-		seen[r.Id] = true
-		l.put(r)
+		listed[r.Id] = l.put(now, d.Era, r)
 	}
+	l.revision = max(l.revision, d.Revision)
+	l.as, l.unknown, l.copied = stamp{d.Era, max(d.Complete, d.Revision)}, false, 0
+	l.seen = l.as
 	for id := range l.records {
-		if !seen[id] {
+		if !listed[id] {
 			l.drop(now, id)
 		}
 	}
-	l.revision = max(l.revision, d.Revision)
-	l.as, l.unknown, l.copied = stamp{d.Era, max(d.Complete, d.Revision)}, false, 0
-	l.seen = l.as
+	l.dropDoubts(d)
+}
+
+// dropDoubts drops the doubtful entries that a full list lacks.
+func (l *List) dropDoubts(d *spec.Directory) {
+	if len(l.doubts) == 0 {
+		return
+	}
+	listed := map[string]bool{}
+	for _, r := range d.Replicas {
+		listed[r.Id] = true
+	}
+	for id := range l.doubts {
+		if !listed[id] {
+			delete(l.doubts, id)
+		}
+	}
 }
 
 // changed notes that the platform has reported a change, and reports whether the list lacks it.
@@ -210,17 +285,16 @@
 
 // Put adds or replaces one target.
 func (l *List) Put(now time.Duration, revision uint64, r *spec.Replica) {
-	if l.changed(now, revision) {
-		l.put(r)
+	if l.changed(now, revision) && !l.put(now, l.seen.era, r) {
+		l.drop(now, r.Id) // the entry of an earlier process has replaced it
 	}
 }
 
-func (l *List) put(r *spec.Replica) { l.records[r.Id] = &record{replica: r} }
-
 // Delete applies the removal of one entry. The target is kept for a grace period unless
 // it announced that it is leaving.
 func (l *List) Delete(now time.Duration, revision uint64, id string) {
 	if l.changed(now, revision) {
+		delete(l.doubts, id)
 		l.drop(now, id)
 	}
 }
@@ -231,8 +305,9 @@
 	if !ok {
 		return
 	}
+	e.era = max(e.era, l.as.era, l.seen.era)
 	if e.replica.Leaving {
-		delete(l.records, id)
+		l.end(id)
 		return
 	}
 	if !e.missing {
@@ -246,8 +321,11 @@
 	if !l.changed(now, revision) {
 		return false
 	}
+	delete(l.doubts, id)
 	_, known := l.records[id]
-	delete(l.records, id)
+	if known {
+		l.end(id)
+	}
 	return known
 }
 
@@ -265,10 +343,11 @@
 // Replicas returns the targets to use, sorted by id, including missing ones that are
 // kept for now. Callers must not change them.
 func (l *List) Replicas(now time.Duration) []*spec.Replica {
+	l.settleDoubts()
 	var rs []*spec.Replica
 	for id, e := range l.records {
 		if l.expired(e, now) {
-			delete(l.records, id)
+			l.end(id)
 			continue
 		}
 		rs = append(rs, e.replica)
@@ -278,7 +357,8 @@
 }
 
 // Directory returns the list for a peer. Missing targets are marked with the time until
-// they are removed, in milliseconds; during an outage, that is OutageGrace.
+// they are removed, in milliseconds; during an outage, that is OutageGrace. Doubtful entries are marked
+// with the time until they are used.
 func (l *List) Directory(now time.Duration) *spec.Directory {
 	d := &spec.Directory{Revision: l.revision, Era: l.as.era, Complete: l.as.revision}
 	for _, r := range l.Replicas(now) {
@@ -293,5 +373,10 @@
 		}
 		d.Replicas = append(d.Replicas, c)
 	}
+	for _, q := range l.doubts {
+		c := proto.CloneOf(q.replica)
+		c.WithheldMs = uint32(max(1, (q.until - now).Milliseconds()))
+		d.Replicas = append(d.Replicas, c)
+	}
 	return d
 }
--- a/internal/stand/store.go
+++ b/internal/stand/store.go
@@ -33,6 +33,8 @@
 	// era is the number of restorations.
 	era     uint64
 	changed chan struct{}
+	// reports counts the entries that were written of each process of a replica.
+	reports map[string]int
 }
 
 type storeItem struct {
@@ -44,7 +46,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, items: map[string]storeItem{}, changed: make(chan struct{})}
+	return &Store{revision: 1, items: map[string]storeItem{}, reports: map[string]int{}, changed: make(chan struct{})}
 }
 
 // Put sets the value of a key.
@@ -74,9 +76,14 @@
 	if r.Born != 0 {
 		born = fmt.Sprintf(`,"born":%d`, r.Born)
 	}
+	process := fmt.Sprint(r.ID, " ", r.Born)
+	s.mu.Lock()
+	s.reports[process]++
+	n := s.reports[process]
+	s.mu.Unlock()
 	s.Put("servers/"+r.ID, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":%d,"state":%q,"cold_remaining_ms":%d,"sequence":1%s}`,
-		service, r.Address(), cmp.Or(r.Zone, "z1"), version, cmp.Or(r.Slots, replicaSlots), state, r.ColdMs, born))
+		`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":%d,"state":%q,"cold_remaining_ms":%d,"sequence":%d%s}`,
+		service, r.Address(), cmp.Or(r.Zone, "z1"), version, cmp.Or(r.Slots, replicaSlots), state, r.ColdMs, n, born))
 }
 
 // Delete removes a key.
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -36,6 +36,7 @@
 	reused           tally.Gauge
 	disconnects      tally.Counter
 	originsRead      tally.Counter
+	outdated         tally.Counter
 	recordsRead      tally.Counter
 	heartbeatsNear   tally.Counter
 	heartbeatsFar    tally.Counter
@@ -59,6 +60,7 @@
 		reused:           t.Scope.Gauge("connections_reused"),
 		disconnects:      t.Scope.Counter("platform_losses"),
 		originsRead:      t.Scope.Counter("stream_origins_read"),
+		outdated:         t.Scope.Counter("target_entries_outdated"),
 		recordsRead:      t.Scope.Counter("stream_records_read"),
 		heartbeatsNear:   heartbeatBytes(t, "near"),
 		heartbeatsFar:    heartbeatBytes(t, "far"),
--- a/io/front/state.go
+++ b/io/front/state.go
@@ -185,6 +185,7 @@
 // next expiry of a missing target.
 func (f *Front) applyTargets(now time.Duration, s *state) {
 	s.listChanged, s.listApplied = false, now
+	f.logOutdated(s)
 	var ts []pool.Target
 	versions := map[string][]string{}
 	for _, r := range s.roster.Replicas(now) {
@@ -336,10 +337,19 @@
 		s.roster.Put(now, revision, r)
 		s.origins.ObserveVersion(r.Service, r.Version) // it may be gone before the list is applied
 		f.log("listed", "target listed", "target", r.Id, "service", r.Service, "address", r.Address,
-			"leaving", r.Leaving, "born", r.Born, "version", r.Version, "revision", revision)
+			"leaving", r.Leaving, "born", r.Born, "sequence", r.Sequence, "version", r.Version, "revision", revision)
 	})
 }
 
+// logOutdated logs the entries that a store restored from an older copy has listed again.
+func (f *Front) logOutdated(s *state) {
+	for _, r := range s.roster.TakeOutdated() {
+		f.meter.outdated.Inc(1)
+		f.log("outdated", "outdated target entry not applied", "target", r.Id, "service", r.Service, "address", r.Address,
+			"leaving", r.Leaving, "born", r.Born, "sequence", r.Sequence, "version", r.Version)
+	}
+}
+
 // RemoveTarget implements Sink.
 func (f *Front) RemoveTarget(revision uint64, id string) {
 	f.updateList(func(now time.Duration, s *state) {
@@ -365,6 +375,7 @@
 	f.loop.Post(func(now time.Duration, s *state) {
 		f.reconnected(now, s)
 		s.roster.Confirm(now)
+		s.listChanged = s.listChanged || s.roster.DoubtsDue()
 		f.applyChanges(now, s)
 		s.position = at
 	})
