--- a/core/pool/criteria.go
+++ b/core/pool/criteria.go
@@ -40,9 +40,10 @@
 	return !t.closed() && c.matches(t) && !slices.Contains(c.Exclude, t.ID)
 }
 
-// matches reports whether the target's version allows it to be chosen.
+// matches reports whether the target's version allows it to be chosen. That of a process that has ended may
+// not be that of the one which runs under its ID now.
 func (c Criteria) matches(t *target) bool {
-	return !c.Pinned || t.Version != "" && t.Version == c.Version
+	return !c.Pinned || t.Version != "" && t.Version == c.Version && !t.ended
 }
 
 // Admits reports whether there is a target that may be chosen once it has a free slot.
--- a/core/pool/notices.go
+++ b/core/pool/notices.go
@@ -18,6 +18,15 @@
 // is reports whether t is the process with the given Born and address.
 func (t *Target) is(born int64, address string) bool { return t.Born == born && t.Address == address }
 
+// ObserveEnd records that the process that was chosen has ended, as its host refuses connections. Another one
+// may start under its ID before it is listed, of another version. It holds until the ID is listed with another
+// Born; without a Born processes can't be told apart.
+func (p *Pool) ObserveEnd(c Choice) {
+	if t := p.targets[c.ID]; t != nil && c.Born != 0 && t.is(c.Born, c.Address) {
+		t.ended = true
+	}
+}
+
 // maxUnlisted bounds the number of unlisted targets that are kept.
 const maxUnlisted = 256
 
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -92,6 +92,8 @@
 	enforced bool
 	// ownSlots is the number of slots that this front owns.
 	ownSlots int
+	// ended is true if the process has ended; see ObserveEnd.
+	ended bool
 	// estimator is shared by the targets of a service.
 	estimator *estimator
 	// slowdown is the response time relative to the estimate, as of slowdownAt.
--- a/io/front/crash.go
+++ b/io/front/crash.go
@@ -98,6 +98,7 @@
 func (e *exchange) reach(wait time.Duration) (refused, reached bool) {
 	for range crashChecks {
 		err := e.request.front.dialer.Reach(e.parent, e.choice.Address, wait)
+		e.request.front.observeRefusal(e.choice, err)
 		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
 			return err != nil, err == nil
 		}
@@ -105,6 +106,13 @@
 	return false, false
 }
 
+// observeRefusal records that the process of a target has ended, if an error of a connection to it shows that.
+func (f *Front) observeRefusal(c pool.Choice, err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		f.loop.Post(func(_ time.Duration, s *state) { s.pool.ObserveEnd(c) })
+	}
+}
+
 // runCrashCheck tries to connect to a target. It has crashed if its host refuses connections, or
 // if what forwards them closes each at once: a target that can't be reached, or goes on, has
 // another fault.
@@ -112,6 +120,7 @@
 	refused, closed := false, 0
 	for n := 0; n < crashChecks && !refused; n++ {
 		err := f.dialer.Check(context.Background(), k.choice.Address, crashCheckWait)
+		f.observeRefusal(k.choice, err)
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
 			refused = true
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -256,6 +256,7 @@
 	}
 	var err error
 	if e.conn, err = q.front.dialer.Get(e.ctx, e.choice.Address, limit); err != nil {
+		q.front.observeRefusal(e.choice, err)
 		e.outcome = pool.Unreachable
 		if e.ctx.Err() != nil && time.Since(e.started) < minConnect {
 			e.outcome = pool.Neutral // canceled before the target could accept
