--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -352,7 +352,8 @@
 	Host string
 	// Header must not contain Host or Content-Length, which Send writes itself.
 	Header http.Header
-	Body   []byte
+	// Body is in blocks.
+	Body [][]byte
 }
 
 // Send writes a request. It returns false only if no byte of the request was sent; with
@@ -363,14 +364,15 @@
 	if err := q.Header.Write(&b); err != nil {
 		return false, fmt.Errorf("write request: %w", err)
 	}
-	if len(q.Body) > 0 || q.Method == http.MethodPost || q.Method == http.MethodPut || q.Method == http.MethodPatch {
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(q.Body))
+	size := 0
+	for _, b := range q.Body {
+		size += len(b)
 	}
-	b.WriteString("\r\n")
-	v := net.Buffers{[]byte(b.String())}
-	if len(q.Body) > 0 {
-		v = append(v, q.Body)
+	if size > 0 || q.Method == http.MethodPost || q.Method == http.MethodPut || q.Method == http.MethodPatch {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", size)
 	}
+	b.WriteString("\r\n")
+	v := append(net.Buffers{[]byte(b.String())}, q.Body...)
 	c.sent, c.header = true, q.Header
 	n, err := v.WriteTo(c.net)
 	if err != nil {
--- a/io/dial/dial_test.go
+++ b/io/dial/dial_test.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := c.Send(dial.Request{Method: http.MethodPost, URI: "/a//b?c", Host: "h", Header: http.Header{}, Body: []byte("x")}); err != nil {
+	if _, err := c.Send(dial.Request{Method: http.MethodPost, URI: "/a//b?c", Host: "h", Header: http.Header{}, Body: [][]byte{[]byte("x")}}); err != nil {
 		t.Fatal(err)
 	}
 	r, err := c.Receive(http.MethodPost)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -52,6 +52,7 @@
 	"golang.org/x/net/netutil"
 	"storj.io/drpc"
 
+	"kingcupstand/core/memory"
 	"kingcupstand/core/plan"
 	"kingcupstand/core/poison"
 	"kingcupstand/io/actor"
@@ -95,6 +96,7 @@
 	// positions reads the platform's position from source.
 	positions positions
 	dialer    *dial.Dialer
+	memory    *memory.Account
 	gossip    *gossip.Transport
 	loop      *actor.Loop[*state]
 	// plan is the current plan.
@@ -149,6 +151,7 @@
 		source:      p,
 		positions:   positions{source: p},
 		dialer:      dial.New(t.Log),
+		memory:      newAccount(s.MemoryMib),
 		incarnation: uint64(time.Now().UnixMilli()),
 		joined:      make(chan struct{}),
 	}
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"kingcupstand/core/event"
+	"kingcupstand/core/memory"
 	"kingcupstand/core/pool"
 	"kingcupstand/io/telem"
 )
@@ -79,10 +80,13 @@
 }
 
 // recordProcess exports the age of the target list, the number of streams whose origin is known
-// and the memory of the process.
-func (m *meter) recordProcess(now time.Duration, s *state) {
+// the memory of the process, and what of it requests hold.
+func (m *meter) recordProcess(now time.Duration, s *state, a *memory.Account) {
 	m.telem.Scope.Gauge("target_list_age_seconds").Update(s.roster.Age(now).Seconds())
 	m.telem.Scope.Gauge("stream_origins").Update(float64(s.origins.Len()))
+	for u, n := range memory.Uses {
+		m.telem.Scope.Tagged(map[string]string{"use": n}).Gauge("request_memory_bytes").Update(float64(a.Used(memory.Use(u))))
+	}
 	v := []metrics.Sample{{Name: "/memory/classes/total:bytes"}}
 	metrics.Read(v)
 	m.telem.Scope.Gauge("memory_bytes").Update(float64(v[0].Value.Uint64()))
--- a/io/front/plain.go
+++ b/io/front/plain.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 
+	"kingcupstand/core/memory"
 	"kingcupstand/core/pool"
 )
 
@@ -18,20 +19,22 @@
 	return err
 }
 
-// readPlain reads a response that is no stream, up to maxBuffered. A server error other than
+// readPlain reads a response that is no stream, up to maxBuffered or what there is memory for. A server error other than
 // 504 is kept as the fallback, as another target may succeed. Only a success may be longer.
 func (e *exchange) readPlain(success bool) error {
 	a := e.response
-	b, n, err := readBlocks(io.LimitReader(a.Body, maxBuffered+1))
-	if err != nil {
+	b, n, err := readBlocks(io.LimitReader(a.Body, maxBuffered+1), e.request.reserveResponse)
+	whole := n <= maxBuffered && err == nil
+	if err != nil && !errors.Is(err, errNoMemory) {
 		e.broken = true
 		return fmt.Errorf("read response body: %w", err)
 	}
-	if n <= maxBuffered && e.gone(a) {
+	if whole && e.gone(a) {
 		e.broken = true
 		return errCutOff
 	}
-	e.plain = &response{status: a.StatusCode, header: responseHeaders(a.Header), body: b, whole: n <= maxBuffered, length: a.ContentLength}
+	e.buffered = n
+	e.plain = &response{status: a.StatusCode, header: responseHeaders(a.Header), body: b, whole: whole, length: a.ContentLength}
 	switch {
 	case !e.plain.whole && success:
 		return nil
@@ -64,9 +67,15 @@
 	maxBlock = 64 << 10
 )
 
-// readBlocks reads r to its end.
-func readBlocks(r io.Reader) (blocks [][]byte, size int, err error) {
+// readBlocks reads r to its end. Before each block beyond memory.Small it calls reserve with its size. It returns what it has read
+// with an error of reserve, and nothing with one of r.
+func readBlocks(r io.Reader, reserve func(n int) error) (blocks [][]byte, size int, err error) {
 	for next := minBlock; ; next = min(maxBlock, 2*next) {
+		if size+next > memory.Small {
+			if err = reserve(next); err != nil {
+				return blocks, size, err
+			}
+		}
 		b, n := make([]byte, next), 0
 		for n < len(b) && err == nil {
 			var m int
@@ -111,10 +120,10 @@
 // all of one that the target breaks off.
 func (e *exchange) copyRest() error {
 	w := e.request.writer
-	n, err := io.Copy(w, io.LimitReader(e.response.Body, maxBody-maxBuffered))
+	n, err := io.Copy(w, io.LimitReader(e.response.Body, int64(maxBody-e.buffered)))
 	switch {
 	case err != nil:
-	case n == maxBody-maxBuffered:
+	case n == int64(maxBody-e.buffered):
 		err = errBodyTooLong
 	case e.gone(e.response):
 		err = errCutOff
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -5,9 +5,9 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
-	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -78,7 +78,13 @@
 	tierRank int
 	// late is true if the request is expected to miss the route's goal.
 	late bool
-	body []byte
+	// body is in blocks, and empty once the request can't be sent again. bodyBytes and responseBytes are
+	// what the request holds of the front's memory.
+	body          [][]byte
+	bodyBytes     int64
+	responseBytes atomic.Int64
+	// unread is true if the request is refused before its body is read.
+	unread bool
 	// deadline is when the final response is due.
 	deadline time.Time
 	// cost is what the request charges to the workspace: 1, or its tokens.
@@ -153,6 +159,7 @@
 	q := &request{front: f, writer: w, http: r, arrived: time.Now()}
 	f.inflight.Add(1)
 	defer f.inflight.Add(-1)
+	defer q.releaseMemory()
 	ctx, span := f.telem.StartSpan(r.Context(), "front.request")
 	q.span = span
 	defer span.End()
@@ -162,6 +169,10 @@
 // run processes the request up to its response.
 func (q *request) run(ctx context.Context) {
 	if s, reason, retryAfter := q.admit(ctx); s != 0 {
+		if q.unread {
+			q.answerUnread()
+			defer q.discardUnread()
+		}
 		q.refuse(s, reason, retryAfter)
 		return
 	}
@@ -189,10 +200,10 @@
 	if s, r := q.resolve(); s != 0 {
 		return s, r, 0
 	}
-	if s, r := q.readBody(); s != 0 {
-		return s, r, 0
+	if s, r, after := q.readBody(ctx); s != 0 {
+		return s, r, after
 	}
-	q.identity = poison.RequestOf(q.http.Method, q.http.Host, q.http.RequestURI, q.workspaceName(), q.body)
+	q.identity = poison.RequestOf(q.http.Method, q.http.Host, q.http.RequestURI, q.workspaceName(), q.body...)
 	q.parts = q.call.parts()
 	q.front.waitInformed(ctx) // callers may be sent to a front that isn't ready
 	if left, err := q.isolated(false); err != nil {
@@ -246,30 +257,6 @@
 	return float64(h.Sum64()>>11) / (1 << 53)
 }
 
-// readBody reads the body, up to the limit of the plan.
-func (q *request) readBody() (status int, reason string) {
-	n := q.plan.Limits().BodyBytes
-	if n <= 0 {
-		n = defaultBodyBytes
-	}
-	if q.http.ContentLength > n {
-		return http.StatusRequestEntityTooLarge, "body-too-large"
-	}
-	if q.http.Body == http.NoBody {
-		return 0, ""
-	}
-	b, err := io.ReadAll(io.LimitReader(q.http.Body, n+1))
-	if err != nil {
-		q.summary.detail = err.Error()
-		return http.StatusBadRequest, "body-cut"
-	}
-	if int64(len(b)) > n {
-		return http.StatusRequestEntityTooLarge, "body-too-large"
-	}
-	q.body = b
-	return 0, ""
-}
-
 // timeout returns the longest time from arrival to the final response.
 func (q *request) timeout() time.Duration {
 	d := q.route.Timeout
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -87,6 +87,9 @@
 		q.recordDispatch(e, v)
 	}
 	if e.opened {
+		if !q.route.Repeatable() {
+			q.dropBody()
+		}
 		v = e.forward()
 	}
 	e.takeover.end(v.err != nil && e.parent.Err() == nil)
@@ -153,6 +156,8 @@
 	opened   bool
 	response *http.Response
 	plain    *response
+	// buffered is the size in bytes of what was read of a plain response before it is forwarded.
+	buffered int
 	// events splits the stream. first holds the events read before it is forwarded, and firstErr
 	// the error that came with them.
 	events   *event.Splitter
