--- a/io/front/front.go
+++ b/io/front/front.go
@@ -97,6 +97,7 @@
 	positions positions
 	dialer    *dial.Dialer
 	memory    *memory.Account
+	callers   *callers
 	gossip    *gossip.Transport
 	loop      *actor.Loop[*state]
 	// plan is the current plan.
@@ -152,6 +153,7 @@
 		positions:   positions{source: p},
 		dialer:      dial.New(t.Log),
 		memory:      newAccount(s.MemoryMib),
+		callers:     newCallers(s.MemoryMib),
 		incarnation: uint64(time.Now().UnixMilli()),
 		joined:      make(chan struct{}),
 	}
@@ -180,6 +182,7 @@
 	defer cancel()
 	f.running = inner
 	callers := f.server(inner, http.HandlerFunc(f.serve))
+	callers.ConnState = f.callers.observe
 	ls, err := f.listen(callers)
 	if err != nil {
 		return errors.Join(err, f.gossip.Close())
@@ -195,6 +198,7 @@
 	g.Go(func() { f.gossip.Run(f.receive) })
 	g.Go(func() { f.source.Run(inner, f) })
 	g.Go(func() { f.dialer.Run(inner) })
+	g.Go(func() { f.runCallers(inner) })
 	g.Go(func() { f.runGossip(inner) })
 	f.telem.Log.Info("started", "role", "front", "callers", f.settings.Callers, "peer", f.settings.Peer,
 		"data-centre", f.settings.DataCentre, "incarnation", f.incarnation, "seeds", f.settings.Seeds)
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -38,6 +38,7 @@
 	disconnects      tally.Counter
 	originsRead      tally.Counter
 	outdated         tally.Counter
+	callersClosed    tally.Counter
 	recordsRead      tally.Counter
 	heartbeatsNear   tally.Counter
 	heartbeatsFar    tally.Counter
@@ -62,6 +63,7 @@
 		disconnects:      t.Scope.Counter("platform_losses"),
 		originsRead:      t.Scope.Counter("stream_origins_read"),
 		outdated:         t.Scope.Counter("target_entries_outdated"),
+		callersClosed:    t.Scope.Counter("idle_callers_closed"),
 		recordsRead:      t.Scope.Counter("stream_records_read"),
 		heartbeatsNear:   heartbeatBytes(t, "near"),
 		heartbeatsFar:    heartbeatBytes(t, "far"),
