--- a/core/roster/process_test.go
+++ b/core/roster/process_test.go
@@ -124,6 +124,19 @@
 	checkIDs(t, l, time.Second+roster.OutageGrace)
 }
 
+// Guards against a later process that a peer lists beside an outdated entry of its ID, and that is dropped for it.
+func TestListWithEntryInDoubt(t *testing.T) {
+	l, peer := roster.New(), roster.New()
+	l.ApplySnapshot(0, &spec.Directory{Era: 1, Revision: 4, Complete: 4, Replicas: []*spec.Replica{entry(2, 1)}})
+	l.ApplySnapshot(time.Second, copyOf(2, entry(1, 1)))
+	peer.ApplySnapshot(time.Second, &spec.Directory{Era: 2, Revision: 2, Complete: 2, Replicas: []*spec.Replica{entry(2, 1)}})
+	if !peer.AdoptPeer(time.Second, 0, l.Directory(time.Second)) {
+		t.Fatal("the list is not adopted")
+	}
+	checkIDs(t, peer, time.Second, "a")
+	checkIDs(t, peer, time.Second+roster.OutageGrace)
+}
+
 // world is a store that is restored from copies, and targets that write their entries to it.
 type world struct {
 	now      time.Duration
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -172,15 +172,15 @@
 	if !unknown && !newer {
 		return false // the revision is one of an earlier era, or this list was read after it
 	}
-	restored := l.restored(now, d.Era)
+	restored := l.enterEra(now, d.Era)
 	l.as, l.unknown, l.copied = as, unknown, 0
 	if as.era == l.seen.era {
 		l.copied = as.revision
 	}
 	l.confirmed = max(l.confirmed, now-age)
 	listed := map[string]bool{}
-	for _, r := range d.Replicas {
-		listed[r.Id] = l.putPeer(now, d.Era, r)
+	for _, r := range d.Replicas { // an entry in doubt may come beside that of a later process
+		listed[r.Id] = l.putPeer(now, d.Era, r) || listed[r.Id]
 	}
 	for id := range l.records {
 		switch {
@@ -209,6 +209,9 @@
 		return false
 	}
 	if !l.put(now, era, r) {
+		if r.VanishedMs > 0 {
+			delete(l.doubts, r.Id) // the platform doesn't list it
+		}
 		return false
 	}
 	if r.VanishedMs > 0 {
@@ -225,9 +228,9 @@
 	}
 }
 
-// restored reports whether a list is of a later era than the one before. The restored store lacks what was
+// enterEra notes the era of a list, and reports whether the store was restored before it. Such a store lacks what was
 // written in the last seconds, so that targets whose entries are missing are kept as after an outage.
-func (l *List) restored(now time.Duration, era uint64) bool {
+func (l *List) enterEra(now time.Duration, era uint64) bool {
 	if l.revision == 0 || era <= max(l.as.era, l.seen.era) {
 		return false
 	}
@@ -237,7 +240,7 @@
 
 // apply applies a full list from the platform.
 func (l *List) apply(now time.Duration, d *spec.Directory) {
-	l.restored(now, d.Era)
+	l.enterEra(now, d.Era)
 	listed := map[string]bool{}
 	for _, r := range d.Replicas {
 		listed[r.Id] = l.put(now, d.Era, r)
@@ -283,9 +286,15 @@
 	return revision == 0 || revision > l.copied
 }
 
-// Put adds or replaces one target.
+// Put adds or replaces one target. That a process leaves holds also if the list has later changes already.
 func (l *List) Put(now time.Duration, revision uint64, r *spec.Replica) {
-	if l.changed(now, revision) && !l.put(now, l.seen.era, r) {
+	if !l.changed(now, revision) {
+		if e := l.records[r.Id]; e != nil && processOf(e.replica).same(r) {
+			e.replica = withLeaving(e.replica, r.Leaving)
+		}
+		return
+	}
+	if !l.put(now, l.seen.era, r) {
 		l.drop(now, r.Id) // the entry of an earlier process has replaced it
 	}
 }
