--- a/core/pool/notices.go
+++ b/core/pool/notices.go
@@ -20,7 +20,7 @@
 
 // ObserveEnd records that the process that was chosen has ended, as its host refuses connections. Another one
 // may start under its ID before it is listed, of another version. It holds until the ID is listed with another
-// Born; without a Born processes can't be told apart.
+// Born; without a Born, processes can't be distinguished.
 func (p *Pool) ObserveEnd(c Choice) {
 	if t := p.targets[c.ID]; t != nil && c.Born != 0 && t.is(c.Born, c.Address) {
 		t.ended = true
