--- a/io/front/request.go
+++ b/io/front/request.go
@@ -35,7 +35,7 @@
 	streamCutoff         = 2500 * time.Millisecond
 	streamCutoffFraction = 3
 	// minTimeLeft is the time until requests in flight are aborted below which a front that
-	// shuts down refuses all new requests.
+	// shuts down refuses new requests that are not streams, whatever their time limit.
 	minTimeLeft = 400 * time.Millisecond
 	// defaultBodyBytes is the limit of request bodies if the plan sets none.
 	defaultBodyBytes = 4 << 20
