--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -14,6 +14,10 @@
 //
 // The room that is left is for the more urgent requests: each rank may fill a smaller part of the account
 // than the rank before it. What is small always has some room that long bodies don't take.
+//
+// # Bodies that are being received
+//
+// An Intake holds them, and gives those up that their callers don't go on sending, once others need the room.
 package memory
 
 import "sync"
@@ -53,10 +57,14 @@
 
 // Reserve takes n bytes for a request of a rank, 0 being the most urgent. It reports false, and takes
 // nothing, if there is no room. There is if nothing else is held, however large n is.
-func (a *Account) Reserve(u Use, rank int, n int64) bool {
+func (a *Account) Reserve(u Use, rank int, n int64) bool { return a.Extend(u, rank, 0, n) }
+
+// Extend is Reserve for a request that holds so many bytes already. There is room if nothing is held for other
+// requests.
+func (a *Account) Extend(u Use, rank int, held, n int64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if t := a.total(); a.limit > 0 && t > 0 && t+n > a.room(rank, n) {
+	if t := a.total(); a.limit > 0 && t > held && t+n > a.room(rank, n) {
 		return false
 	}
 	a.used[u] += n
