--- a/io/front/front.go
+++ b/io/front/front.go
@@ -49,15 +49,14 @@
 
 	cryptorand "crypto/rand"
 
-	"golang.org/x/net/netutil"
 	"storj.io/drpc"
 
-	"kingcupstand/core/memory"
 	"kingcupstand/core/plan"
 	"kingcupstand/core/poison"
 	"kingcupstand/io/actor"
 	"kingcupstand/io/dial"
 	"kingcupstand/io/gossip"
+	"kingcupstand/io/intake"
 	"kingcupstand/io/telem"
 	"kingcupstand/schema/spec"
 	"kingcupstand/schema/wire"
@@ -96,8 +95,7 @@
 	// positions reads the platform's position from source.
 	positions positions
 	dialer    *dial.Dialer
-	memory    *memory.Account
-	callers   *callers
+	intake    *intake.Intake
 	gossip    *gossip.Transport
 	loop      *actor.Loop[*state]
 	// plan is the current plan.
@@ -152,13 +150,12 @@
 		source:      p,
 		positions:   positions{source: p},
 		dialer:      dial.New(t.Log),
-		memory:      newAccount(s.MemoryMib),
-		callers:     newCallers(s.MemoryMib),
 		incarnation: uint64(time.Now().UnixMilli()),
 		joined:      make(chan struct{}),
 	}
 	f.aborted, f.abort = context.WithCancel(context.Background())
 	f.meter = newMeter(t)
+	f.intake = f.newIntake()
 	f.plan.Store(plan.Empty())
 	f.isolations.Store(&map[poison.Part]time.Duration{})
 	f.withheldTargets.Store(&map[string]time.Duration{})
@@ -182,7 +179,7 @@
 	defer cancel()
 	f.running = inner
 	callers := f.server(inner, http.HandlerFunc(f.serve))
-	callers.ConnState = f.callers.observe
+	f.intake.Attach(callers)
 	ls, err := f.listen(callers)
 	if err != nil {
 		return errors.Join(err, f.gossip.Close())
@@ -198,7 +195,7 @@
 	g.Go(func() { f.gossip.Run(f.receive) })
 	g.Go(func() { f.source.Run(inner, f) })
 	g.Go(func() { f.dialer.Run(inner) })
-	g.Go(func() { f.runCallers(inner) })
+	g.Go(func() { f.intake.Run(inner) })
 	g.Go(func() { f.runGossip(inner) })
 	f.telem.Log.Info("started", "role", "front", "callers", f.settings.Callers, "peer", f.settings.Peer,
 		"data-centre", f.settings.DataCentre, "incarnation", f.incarnation, "seeds", f.settings.Seeds)
@@ -267,6 +264,7 @@
 		m.Handle("/metrics", f.telem.MetricsHandler())
 	}
 	admin := f.server(context.Background(), m)
+	admin.ReadTimeout = headerTimeout
 	by := map[string]*http.Server{
 		f.settings.Callers:   callers,
 		f.settings.Readiness: admin,
@@ -283,8 +281,10 @@
 			}
 			return nil, fmt.Errorf("listen: %w", err)
 		}
-		if d := int(f.settings.Descriptors); s == callers && d > reservedDescriptors {
-			n = netutil.LimitListener(n, d-reservedDescriptors)
+		if s == callers {
+			if n, err = f.intake.Listener(n); err != nil {
+				f.telem.Log.Error(err, "callers' connections are not bounded by memory")
+			}
 		}
 		ls = append(ls, &listener{net: n, server: s})
 	}
--- a/io/front/gossip.go
+++ b/io/front/gossip.go
@@ -201,7 +201,7 @@
 	opened, reused := f.dialer.Counts()
 	f.meter.opened.Update(float64(opened))
 	f.meter.reused.Update(float64(reused))
-	f.meter.recordProcess(now, s, f.memory)
+	f.meter.recordProcess(now, s, f.intake.Account())
 	f.reportTraffic(s)
 	for _, name := range s.sched.Services() {
 		f.reportLimits(s, name)
--- a/io/front/meter.go
+++ b/io/front/meter.go
@@ -39,6 +39,7 @@
 	originsRead      tally.Counter
 	outdated         tally.Counter
 	callersClosed    tally.Counter
+	slowClosed       tally.Counter
 	recordsRead      tally.Counter
 	heartbeatsNear   tally.Counter
 	heartbeatsFar    tally.Counter
@@ -64,6 +65,7 @@
 		originsRead:      t.Scope.Counter("stream_origins_read"),
 		outdated:         t.Scope.Counter("target_entries_outdated"),
 		callersClosed:    t.Scope.Counter("idle_callers_closed"),
+		slowClosed:       t.Scope.Counter("slow_callers_closed"),
 		recordsRead:      t.Scope.Counter("stream_records_read"),
 		heartbeatsNear:   heartbeatBytes(t, "near"),
 		heartbeatsFar:    heartbeatBytes(t, "far"),
--- a/io/front/plain.go
+++ b/io/front/plain.go
@@ -8,6 +8,7 @@
 
 	"kingcupstand/core/memory"
 	"kingcupstand/core/pool"
+	"kingcupstand/io/intake"
 )
 
 // discard reads a body to its end. It fails with errBodyTooLong after maxBuffered.
@@ -23,9 +24,9 @@
 // 504 is kept as the fallback, as another target may succeed. Only a success may be longer.
 func (e *exchange) readPlain(success bool) error {
 	a := e.response
-	b, n, err := readBlocks(io.LimitReader(a.Body, maxBuffered+1), e.request.reserveResponse)
+	b, n, err := intake.ReadBlocks(io.LimitReader(a.Body, maxBuffered+1), memory.Small, e.request.reserveResponse)
 	whole := n <= maxBuffered && err == nil
-	if err != nil && !errors.Is(err, errNoMemory) {
+	if err != nil && !errors.Is(err, intake.ErrNoMemory) {
 		e.broken = true
 		return fmt.Errorf("read response body: %w", err)
 	}
@@ -60,38 +61,6 @@
 	return nil
 }
 
-// Sizes in bytes of the blocks that a response is read into: each is twice as large as the one
-// before.
-const (
-	minBlock = 2 << 10
-	maxBlock = 64 << 10
-)
-
-// readBlocks reads r to its end. Before each block beyond memory.Small it calls reserve with its size. It returns what it has read
-// with an error of reserve, and nothing with one of r.
-func readBlocks(r io.Reader, reserve func(n int) error) (blocks [][]byte, size int, err error) {
-	for next := minBlock; ; next = min(maxBlock, 2*next) {
-		if size+next > memory.Small {
-			if err = reserve(next); err != nil {
-				return blocks, size, err
-			}
-		}
-		b, n := make([]byte, next), 0
-		for n < len(b) && err == nil {
-			var m int
-			m, err = r.Read(b[n:])
-			n += m
-		}
-		blocks, size = append(blocks, b[:n]), size+n
-		if errors.Is(err, io.EOF) {
-			return blocks, size, nil
-		}
-		if err != nil {
-			return nil, size, err
-		}
-	}
-}
-
 // forwardPlain forwards a response that is no stream. One that was not read to its end is
 // forwarded while it is being read; if the target breaks off, the caller's connection is broken
 // as well.
--- a/io/front/request.go
+++ b/io/front/request.go
@@ -17,6 +17,7 @@
 	"kingcupstand/core/poison"
 	"kingcupstand/core/pool"
 	"kingcupstand/io/actor"
+	"kingcupstand/io/intake"
 )
 
 // Times and bounds of a request.
@@ -78,13 +79,11 @@
 	tierRank int
 	// late is true if the request is expected to miss the route's goal.
 	late bool
-	// body is in blocks, and empty once the request can't be sent again. bodyBytes and responseBytes are
-	// what the request holds of the front's memory.
-	body          [][]byte
-	bodyBytes     int64
+	// body is nil until it was read, and empty once the request can't be sent again. bodyError is why it could
+	// not be read. responseBytes is what the response holds of the front's memory.
+	body          *intake.Body
+	bodyError     error
 	responseBytes atomic.Int64
-	// unread is true if the request is refused before its body is read.
-	unread bool
 	// deadline is when the final response is due.
 	deadline time.Time
 	// cost is what the request charges to the workspace: 1, or its tokens.
@@ -169,11 +168,7 @@
 // run processes the request up to its response.
 func (q *request) run(ctx context.Context) {
 	if s, reason, retryAfter := q.admit(ctx); s != 0 {
-		if q.unread {
-			q.answerUnread()
-			defer q.discardUnread()
-		}
-		q.refuse(s, reason, retryAfter)
+		q.refuseUnread(s, reason, retryAfter)
 		return
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, q.deadline, errTimeout)
@@ -200,10 +195,10 @@
 	if s, r := q.resolve(); s != 0 {
 		return s, r, 0
 	}
-	if s, r, after := q.readBody(ctx); s != 0 {
+	if s, r, after := q.readBody(); s != 0 {
 		return s, r, after
 	}
-	q.identity = poison.RequestOf(q.http.Method, q.http.Host, q.http.RequestURI, q.workspaceName(), q.body...)
+	q.identity = poison.RequestOf(q.http.Method, q.http.Host, q.http.RequestURI, q.workspaceName(), q.body.Blocks()...)
 	q.parts = q.call.parts()
 	q.front.waitInformed(ctx) // callers may be sent to a front that isn't ready
 	if left, err := q.isolated(false); err != nil {
--- a/io/front/send.go
+++ b/io/front/send.go
@@ -287,7 +287,7 @@
 		LastEventID: e.from.Last(),
 	})
 	sent, err := e.conn.Send(dial.Request{
-		Method: q.http.Method, URI: q.http.RequestURI, Host: q.http.Host, Header: h, Body: q.body,
+		Method: q.http.Method, URI: q.http.RequestURI, Host: q.http.Host, Header: h, Body: q.body.Blocks(),
 	})
 	if !sent {
 		e.outcome = pool.Unreachable
