--- a/internal/cli/process.go
+++ b/internal/cli/process.go
@@ -62,6 +62,10 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", errInput, err)
 	}
+	if c.MemoryMib == 0 {
+		c.MemoryMib = daemon.DefaultMemory()
+	}
+	daemon.LimitMemory(c.MemoryMib)
 	proc.SetTimeToForceQuit(forceQuitDelay)
 	telem.RedirectGoZero(t.Log)
 	p, err := build(c, t)
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -46,6 +46,7 @@
 	"kingcupstand/core/gate"
 	"kingcupstand/io/actor"
 	"kingcupstand/io/httpd"
+	"kingcupstand/io/intake"
 	"kingcupstand/io/link"
 	"kingcupstand/io/node"
 	"kingcupstand/io/target"
@@ -178,7 +179,7 @@
 		return err
 	}
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	s := httpd.NewServer(inner, r, nil, int(a.settings.MaxConnections))
+	s := httpd.NewServer(inner, r, nil, intake.New(intake.Limits{Connections: int(a.settings.MaxConnections)}, func(intake.Report) {}))
 	var g sync.WaitGroup
 	errs := make(chan error, 2)
 	g.Go(func() { errs <- link.Serve(inner, p, tc, a, a.node) })
--- a/io/entry/api.go
+++ b/io/entry/api.go
@@ -1,9 +1,8 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -15,6 +14,7 @@
 	"kingcupstand/core/conf"
 	"kingcupstand/core/route"
 	"kingcupstand/io/actor"
+	"kingcupstand/io/intake"
 )
 
 // Paths of the HTTP API.
@@ -29,9 +29,6 @@
 const (
 	// defaultBodyLimit is the body limit of contracts that set none, in bytes.
 	defaultBodyLimit = 4 << 20
-	// maxInlineBody is the largest body of a service call that is sent in the same frame
-	// as its offer, in bytes. Larger ones follow the offer.
-	maxInlineBody = 64 << 10
 	// bytesPerToken is used to estimate the number of tokens of a text.
 	bytesPerToken = 4
 	// defaultOutputTokens is the assumed output of requests that set no limit, in tokens.
@@ -41,6 +38,8 @@
 	serviceTokens = 1
 	// prefixBytes is how much of the first message identifies a shared prefix, in bytes.
 	prefixBytes = 4096
+	// idBodyTimeout is the time for the body of a request for an id.
+	idBodyTimeout = 10 * time.Second
 )
 
 // routes returns the routes of the HTTP API, except those of plain services.
@@ -56,7 +55,7 @@
 // go-zero's router can't describe.
 func (e *Entry) fallback(w http.ResponseWriter, q *http.Request) {
 	if !strings.HasPrefix(q.URL.Path, servicesPath) {
-		refusal(http.StatusNotFound, typeInvalid, "unknown-path", "no such path").write(w)
+		refusal(http.StatusNotFound, typeInvalid, "unknown-path", "no such path").unread(nil).write(w, q)
 		return
 	}
 	e.handle(e.service)(w, q)
@@ -75,10 +74,12 @@
 		k, f := e.authenticate(q)
 		if f == nil {
 			f = h(w, q, k)
+		} else {
+			f = f.unread(nil)
 		}
 		if f != nil {
 			e.telem.Scope.Tagged(map[string]string{"code": f.Code}).Counter("faults").Inc(1)
-			f.write(w)
+			f.write(w, q)
 		}
 	}
 }
@@ -121,7 +122,8 @@
 		Model   string `json:"model"`
 		Service string `json:"service"`
 	}
-	if f := e.readJSON(w, q, k, &v); f != nil {
+	t, _ := e.node.Config().Terms(k.Workspace(), e.tierName(k, q))
+	if f := e.readJSON(w, q, k, t.Rank, &v); f != nil {
 		return f
 	}
 	if f := checkAllowed(k, v.Model, v.Service); f != nil {
@@ -140,11 +142,24 @@
 
 // chatRequest is the part of a chat-completions request that routing needs.
 type chatRequest struct {
-	Model               string            `json:"model"`
-	Stream              bool              `json:"stream"`
-	MaxTokens           int               `json:"max_tokens"`
-	MaxCompletionTokens int               `json:"max_completion_tokens"`
-	Messages            []json.RawMessage `json:"messages"`
+	Model               string    `json:"model"`
+	Stream              bool      `json:"stream"`
+	MaxTokens           int       `json:"max_tokens"`
+	MaxCompletionTokens int       `json:"max_completion_tokens"`
+	Messages            []message `json:"messages"`
+}
+
+// message is the size in bytes and the first prefixBytes of a message. The rest is in the
+// body, which is sent on as it is.
+type message struct {
+	size int
+	head []byte
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (m *message) UnmarshalJSON(b []byte) error {
+	m.size, m.head = len(b), bytes.Clone(b[:min(len(b), prefixBytes)])
+	return nil
 }
 
 // output returns the expected number of output tokens: the request's own limit or, if it
@@ -173,19 +188,26 @@
 	}
 	h := xxhash.New()
 	_, _ = h.WriteString(workspace + "\x00" + c.Model + "\x00")
-	m := c.Messages[0]
-	_, _ = h.Write(m[:min(len(m), prefixBytes)])
+	_, _ = h.Write(c.Messages[0].head)
 	return h.Sum64()
 }
 
 // chat handles a chat completion.
 func (e *Entry) chat(w http.ResponseWriter, q *http.Request, k conf.Contract) *fault {
-	b, f := e.readBody(w, q, k)
+	r, f := e.newRequest(w, q, k)
 	if f != nil {
+		return f.unread(nil)
+	}
+	if f := r.readBody(q); f != nil {
 		return f
 	}
+	defer r.body.Release()
+	text, err := r.body.Join(r.bodyRank())
+	if err != nil {
+		return bodyFault(err, k)
+	}
 	var c chatRequest
-	if err := json.Unmarshal(b, &c); err != nil {
+	if err := json.Unmarshal(text, &c); err != nil {
 		return refusal(http.StatusBadRequest, typeInvalid, "bad-json", "the body is not a chat-completions request: "+err.Error())
 	}
 	if f := checkAllowed(k, c.Model, ""); f != nil {
@@ -194,17 +216,12 @@
 	if len(c.Messages) == 0 {
 		return refusal(http.StatusBadRequest, typeInvalid, "missing-messages", "expected at least one message")
 	}
-	r, f := e.newRequest(w, q, k)
-	if f != nil {
-		return f
-	}
-	r.body = b
 	r.buffered = !c.Stream
 	r.routing.Model = c.Model
-	r.routing.Prompt = max(len(b)/bytesPerToken, 1)
+	r.routing.Prompt = max(r.body.Size()/bytesPerToken, 1)
 	r.routing.Output = c.output(k.Limits().OutputTokens)
 	r.routing.Prefix = c.prefix(k.Workspace())
-	r.routing.PrefixTokens = len(c.Messages[0]) / bytesPerToken
+	r.routing.PrefixTokens = c.Messages[0].size / bytesPerToken
 	r.path = chatPath
 	if f := checkSize(k, r.routing); f != nil {
 		return f
@@ -216,11 +233,11 @@
 func (e *Entry) service(w http.ResponseWriter, q *http.Request, k conf.Contract) *fault {
 	name, rest, _ := strings.Cut(strings.TrimPrefix(q.URL.EscapedPath(), servicesPath), "/")
 	if f := checkAllowed(k, "", name); f != nil {
-		return f
+		return f.unread(nil)
 	}
 	r, f := e.newRequest(w, q, k)
 	if f != nil {
-		return f
+		return f.unread(nil)
 	}
 	r.routing.Service = name
 	r.routing.Prompt = serviceTokens
@@ -229,31 +246,26 @@
 	if q.URL.RawQuery != "" {
 		r.path += "?" + q.URL.RawQuery
 	}
-	if f := r.setBody(w, q); f != nil {
+	if f := r.readBody(q); f != nil {
 		return f
 	}
+	defer r.body.Release()
 	return e.serveRequest(q, r)
 }
 
-// readBody reads the body to its end. A body beyond the contract's limit is a fault.
-func (e *Entry) readBody(w http.ResponseWriter, q *http.Request, k conf.Contract) ([]byte, *fault) {
-	b, err := io.ReadAll(http.MaxBytesReader(w, q.Body, bodyLimit(k)))
-	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
-		return nil, tooLarge(k)
-	}
+// readJSON reads the body and decodes it into v.
+func (e *Entry) readJSON(w http.ResponseWriter, q *http.Request, k conf.Contract, rank call.Rank, v any) *fault {
+	t := intake.Terms{Rank: int(rank) - 1, Limit: bodyLimit(k), Deadline: time.Now().Add(idBodyTimeout)}
+	b, err := e.intake.Read(w, q, t)
 	if err != nil {
-		return nil, refusal(http.StatusBadRequest, typeInvalid, "body-cut", "the body ended early")
+		return bodyFault(err, k)
 	}
-	return b, nil
-}
-
-// readJSON reads the body and decodes it into v.
-func (e *Entry) readJSON(w http.ResponseWriter, q *http.Request, k conf.Contract, v any) *fault {
-	b, f := e.readBody(w, q, k)
-	if f != nil {
-		return f
+	defer b.Release()
+	text, err := b.Join(t.Rank)
+	if err != nil {
+		return bodyFault(err, k)
 	}
-	if err := json.Unmarshal(b, v); err != nil {
+	if err := json.Unmarshal(text, v); err != nil {
 		return refusal(http.StatusBadRequest, typeInvalid, "bad-json", "the body is not JSON of the expected form: "+err.Error())
 	}
 	return nil
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"time"
 
 	"kingcupstand/core/call"
@@ -127,7 +126,7 @@
 }
 
 // progress handles a frame that is not forwarded. Once the request is dispatched, it
-// replaces the deadline by the stall timeout and starts to send a streamed body.
+// replaces the deadline by the stall timeout and starts to send a long body.
 func (a *attempt) progress(f *wire.AgentFrame) {
 	if f.GetDispatched() == nil {
 		return
@@ -135,7 +134,7 @@
 	if a.timer.Stop() {
 		a.timer = time.AfterFunc(a.stallTimeout(), func() { a.cancel(errStalled) })
 	}
-	if a.request.stream != nil {
+	if a.request.bodyFollows() {
 		go a.runBody()
 	}
 }
@@ -145,28 +144,6 @@
 	return time.Duration(a.request.entry.settings.StallMs)*time.Millisecond + stallMargin
 }
 
-// runBody sends the request body in frames. If the body can't be read to its end, the
-// offer is canceled.
-func (a *attempt) runBody() {
-	b := make([]byte, bodyChunk)
-	for {
-		n, err := a.request.stream.Read(b)
-		if n > 0 {
-			if a.wire.Send(&wire.EntryFrame{Kind: &wire.EntryFrame_Body{Body: b[:n]}}) != nil {
-				return
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			_ = a.wire.Send(&wire.EntryFrame{Kind: &wire.EntryFrame_BodyEnd{BodyEnd: true}})
-			return
-		}
-		if err != nil {
-			a.cancel(err)
-			return
-		}
-	}
-}
-
 // forward passes a part of the response to the caller and restarts the stall timer.
 func (a *attempt) forward(f *wire.AgentFrame) error {
 	a.timer.Reset(a.stallTimeout())
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -52,6 +52,7 @@
 	"kingcupstand/core/route"
 	"kingcupstand/io/actor"
 	"kingcupstand/io/httpd"
+	"kingcupstand/io/intake"
 	"kingcupstand/io/link"
 	"kingcupstand/io/node"
 	"kingcupstand/io/telem"
@@ -70,6 +71,7 @@
 	node     *node.Node
 	link     *link.Client
 	loop     *actor.Loop[*state]
+	intake   *intake.Intake
 	// inflight is the number of callers' requests in flight.
 	inflight atomic.Int64
 }
@@ -88,6 +90,7 @@
 		return nil, err
 	}
 	e := &Entry{settings: s, telem: t, link: link.New(p)}
+	e.intake = intake.New(intake.Limits{Memory: int64(s.MemoryMib) << 20, Connections: int(s.MaxConnections)}, e.reportClosed)
 	e.node, err = node.New(s, t, node.Source(s), e.link, node.Hooks{
 		Config:    e.configure,
 		Instances: e.setInstances,
@@ -103,6 +106,13 @@
 	return e, nil
 }
 
+// reportClosed reports connections that were closed as there were too many.
+func (e *Entry) reportClosed(r intake.Report) {
+	e.telem.Scope.Counter("idle_callers_closed").Inc(int64(r.Idle))
+	e.telem.Scope.Counter("slow_callers_closed").Inc(int64(r.Slow))
+	e.telem.Log.Info("connections of callers closed", "idle", r.Idle, "slow", r.Slow, "most", r.Most)
+}
+
 // configure applies a new configuration to the quotas.
 func (e *Entry) configure(c *conf.Config) {
 	e.loop.Post(func(_ time.Duration, s *state) { s.quotas.configure(c) })
@@ -182,12 +192,13 @@
 		return err
 	}
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	s := httpd.NewServer(inner, r, ct, int(e.settings.MaxConnections))
+	s := httpd.NewServer(inner, r, ct, e.intake)
 	var g sync.WaitGroup
 	errs := make(chan error, 2)
 	g.Go(func() { errs <- link.Serve(inner, p, pt, nil, e.node) })
 	g.Go(func() { errs <- s.Serve(h) })
 	g.Go(func() { e.node.Run(inner) })
+	g.Go(func() { e.intake.Run(inner) })
 	e.telem.Log.Info("entry started", "peer", p.Addr().String(), "http", h.Addr().String(), "incarnation", e.node.Incarnation())
 	err = e.wait(ctx, stop, errs, s)
 	cancel()
--- a/io/entry/fault.go
+++ b/io/entry/fault.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"kingcupstand/core/call"
+	"kingcupstand/io/intake"
 )
 
 // Headers of the HTTP API.
@@ -34,6 +35,16 @@
 	RequestID string `json:"request_id,omitempty"`
 	// RetryAfter is written as the Retry-After header unless it is 0.
 	RetryAfter time.Duration `json:"-"`
+	// bodyUnread is true if the body was not read to its end, because of bodyError unless that is nil.
+	bodyUnread bool
+	bodyError  error
+}
+
+// unread returns f for a request whose body was not read to its end, because of err unless that is nil.
+func (f *fault) unread(err error) *fault {
+	o := *f
+	o.bodyUnread, o.bodyError = true, err
+	return &o
 }
 
 // Types of faults, as clients of chat-completions APIs expect them.
@@ -106,8 +117,12 @@
 	return b
 }
 
-// write sends the fault as the response.
-func (f *fault) write(w http.ResponseWriter) {
+// write sends the fault as the response to q.
+func (f *fault) write(w http.ResponseWriter, q *http.Request) {
+	if f.bodyUnread {
+		finish := intake.Refuse(w, q, f.bodyError)
+		defer func() { _ = finish() }() // fails if the caller doesn't send the rest
+	}
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(headerRan, f.Ran)
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -5,7 +5,6 @@
 	cryptorand "crypto/rand"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -17,6 +16,7 @@
 	"kingcupstand/core/offer"
 	"kingcupstand/core/route"
 	"kingcupstand/io/actor"
+	"kingcupstand/io/intake"
 	"kingcupstand/io/link"
 	"kingcupstand/io/telem"
 	"kingcupstand/schema/wire"
@@ -33,7 +33,7 @@
 	stallMargin = 2 * time.Second
 	// minRetryAfter is the shortest Retry-After that callers get.
 	minRetryAfter = time.Second
-	// bodyChunk is the size of the frames of a streamed request body, in bytes.
+	// bodyChunk is the size of the frames of a large request body, in bytes.
 	bodyChunk = 16 << 10
 )
 
@@ -52,10 +52,10 @@
 	method   string
 	path     string
 	header   http.Header
-	// body is sent with the offer. A body that is large or of unknown length is read from
-	// stream instead and sent once the request is dispatched; else stream is nil.
-	body   []byte
-	stream io.Reader
+	// body is sent with the offer or, if it is large, once the request is dispatched.
+	body *intake.Body
+	// responseBytes is what the buffered response holds of the entry's memory.
+	responseBytes int64
 	// buffered is true if the response is to be sent only when it is complete.
 	buffered   bool
 	tier       string
@@ -89,7 +89,8 @@
 	ctx, r.span = r.entry.telem.StartSpan(telem.Extract(ctx, r.header.Get("traceparent")), "entry.request")
 	defer r.span.End()
 	r.machine = offer.New(r.hasID)
-	r.response = newResponse(r.writer, r.buffered)
+	r.response = newResponse(r.writer, r.buffered, r.reserveResponse)
+	defer r.releaseResponse()
 	e := withRetryAfter(r.loop(ctx))
 	r.record(e)
 	if e.Complete {
@@ -280,8 +281,8 @@
 		Method:       r.method,
 		Path:         r.path,
 		Headers:      link.PackHeaders(r.header, privateHeaders),
-		Body:         r.body,
-		BodyFollows:  r.stream != nil,
+		Body:         r.inlineBody(),
+		BodyFollows:  r.bodyFollows(),
 		PromptTokens: uint32(r.routing.Prompt),
 		CachedTokens: uint32(a.choice.Cached),
 		OutputTokens: uint32(r.routing.Output),
--- a/io/entry/response.go
+++ b/io/entry/response.go
@@ -25,6 +25,8 @@
 	writer   http.ResponseWriter
 	flusher  *http.ResponseController
 	buffered bool
+	// reserve takes memory for so many bytes to buffer. It reports false if there is none.
+	reserve func(n int) bool
 	// started is true once the status was sent to the caller.
 	started bool
 	status  int
@@ -32,8 +34,8 @@
 	body []byte
 }
 
-func newResponse(w http.ResponseWriter, buffered bool) *response {
-	return &response{writer: w, flusher: http.NewResponseController(w), buffered: buffered}
+func newResponse(w http.ResponseWriter, buffered bool, reserve func(int) bool) *response {
+	return &response{writer: w, flusher: http.NewResponseController(w), buffered: buffered, reserve: reserve}
 }
 
 // head handles the status and headers of the target's response. Offers is the number of
@@ -59,9 +61,9 @@
 }
 
 // data buffers or sends a part of the body. What was buffered is sent once it would exceed
-// maxBuffered.
+// maxBuffered or the memory.
 func (r *response) data(b []byte) error {
-	if r.buffered && len(r.body)+len(b) <= maxBuffered {
+	if r.buffered && len(r.body)+len(b) <= maxBuffered && r.reserve(len(b)) {
 		r.body = append(r.body, b...)
 		return nil
 	}
--- a/io/entry/terms.go
+++ b/io/entry/terms.go
@@ -40,23 +40,6 @@
 	return nil
 }
 
-// setBody prepares the request body of a plain service's call. A small body of known
-// length is read and sent with the offer; others are streamed after the dispatch. net/http
-// detects that a caller has disconnected only once the body is read, so with a large body
-// that is detected only after the dispatch.
-func (r *request) setBody(w http.ResponseWriter, q *http.Request) *fault {
-	if q.ContentLength < 0 || q.ContentLength > maxInlineBody {
-		if q.ContentLength > bodyLimit(r.contract) {
-			return tooLarge(r.contract)
-		}
-		r.stream = http.MaxBytesReader(w, q.Body, bodyLimit(r.contract))
-		return nil
-	}
-	b, f := r.entry.readBody(w, q, r.contract)
-	r.body = b
-	return f
-}
-
 // newRequest returns a request whose tier, deadline and id are set from its headers and the
 // contract.
 func (e *Entry) newRequest(w http.ResponseWriter, q *http.Request, k conf.Contract) (*request, *fault) {
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -8,7 +8,7 @@
 // # Usage
 //
 //	h, err := httpd.New("entry-1", routes, notFound)
-//	s := httpd.NewServer(ctx, h, tlsConfig, 4096)
+//	s := httpd.NewServer(ctx, h, tlsConfig, intake)
 //	go s.Serve(listener)
 //	err = s.Stop(ctx)
 package httpd
@@ -26,11 +26,13 @@
 	"github.com/zeromicro/go-zero/core/service"
 	"github.com/zeromicro/go-zero/core/trace"
 	"github.com/zeromicro/go-zero/rest"
-	"golang.org/x/net/netutil"
+
+	"kingcupstand/io/intake"
 )
 
 // Limits of one listener. headerTimeout is the time that a client has for sending the
-// headers of a request. idleTimeout is how long a connection is kept between requests.
+// headers of a request, and for its body if the handler doesn't read it with an Intake.
+// idleTimeout is how long a connection is kept between requests.
 const (
 	maxHeaderBytes = 32 << 10
 	headerTimeout  = 5 * time.Second
@@ -65,29 +67,33 @@
 
 // Server serves one handler on one listener, over HTTP or HTTPS.
 type Server struct {
-	http     *http.Server
-	maxConns int
+	http   *http.Server
+	intake *intake.Intake
 }
 
 // NewServer returns a server for h. The contexts of requests are derived from ctx and
-// canceled with it. If c is nil the server doesn't use TLS. At most maxConns connections
-// are open at a time. Further ones wait in the kernel's accept queue, as backpressure:
-// refusing them would ignore the tiers of their requests.
-func NewServer(ctx context.Context, h http.Handler, c *tls.Config, maxConns int) *Server {
-	return &Server{maxConns: maxConns, http: &http.Server{
+// canceled with it. If c is nil the server doesn't use TLS. Its connections are bounded
+// by i.
+func NewServer(ctx context.Context, h http.Handler, c *tls.Config, i *intake.Intake) *Server {
+	s := &Server{intake: i, http: &http.Server{
 		BaseContext:       func(net.Listener) context.Context { return ctx },
-		Handler:           h,
+		Handler:           intake.Handler(h, headerTimeout),
 		TLSConfig:         c,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 	}}
+	i.Attach(s.http)
+	return s
 }
 
 // Serve accepts connections on n and serves their requests until Stop is called. It
 // returns nil after Stop.
 func (s *Server) Serve(n net.Listener) error {
-	n = netutil.LimitListener(n, s.maxConns)
+	n, err := s.intake.Listener(n)
+	if err != nil {
+		return errors.Join(err, n.Close())
+	}
 	if s.http.TLSConfig != nil {
 		n = tls.NewListener(n, s.http.TLSConfig)
 	}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -43,8 +43,11 @@
 	maxIdlePerPeer = 16
 	maxIdle        = 1024
 	// MaxFrame is the size of the largest message, in bytes. It has room for a
-	// configuration document or a buffered request body, and for the fields beside it.
+	// configuration document and for the fields beside it.
 	MaxFrame = 10 << 20
+	// MaxInlineBody is the largest request body that is sent in the same frame as its offer,
+	// in bytes. Larger ones follow once the request is dispatched.
+	MaxInlineBody = 16 << 10
 )
 
 // Client opens streams to other processes on pooled connections. It is safe for concurrent
