--- a/internal/crowd/entry_test.go
+++ b/internal/crowd/entry_test.go
@@ -107,7 +107,7 @@
 		p.start([]string{port}, program, role, "--settings", file)
 		return p
 	}
-	s.engine = start(1, "agent", "engine-1", fmt.Sprintf("target: {kind: engine, url: %q, models: [m]}", h.URL), peer[1], agentMemory, agentDescriptors)
+	s.engine = start(1, "agent", "engine-1", fmt.Sprintf("target: {kind: engine, url: %q, models: [m], batch-tokens: 100000000}", h.URL), peer[1], agentMemory, agentDescriptors)
 	s.web = start(2, "agent", "web-1", fmt.Sprintf("target: {kind: service, url: %q, service: web}", h.URL), peer[2], agentMemory, agentDescriptors)
 	s.entry = start(0, "entry", "entry-1", fmt.Sprintf("max-connections: %d", connections), web[0], memory, connections+otherDescriptors)
 	for _, a := range web {
@@ -149,3 +149,20 @@
 		})
 	}
 }
+
+// Pattern: many whole bodies that wait for a slow target. Guards against agents that exceed their memory, behind
+// an entry that has much of it.
+func TestAgentsBeforeCrowd(t *testing.T) {
+	const memory, connections = 1024, 1200
+	for _, pat := range []pattern{
+		{name: "long", callers: 180, size: bodyLimit, whole: true},
+		{name: "short", callers: 1000, size: 60_000, whole: true},
+	} {
+		for name, q := range map[string]func(*system) request{"calls": (*system).call, "chats": (*system).chat} {
+			t.Run(pat.name+"-"+name, func(t *testing.T) {
+				s := newSystem(t, memory, connections, 500*time.Millisecond)
+				runCrowd(t, pat, q(s), s.entry, s.engine, s.web)
+			})
+		}
+	}
+}
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -125,17 +125,32 @@
 	if err != nil {
 		return nil, err
 	}
-	g := gate.New(s.Name, a.node.Incarnation(), limits(s.Target), a.node.Config(), speed(s.Target))
+	g := gate.New(s.Name, a.node.Incarnation(), limits(s), a.node.Config(), speed(s.Target))
 	a.loop = actor.New(&state{gate: g, streams: make(map[gate.StreamID]chan gate.Action)})
 	return a, nil
 }
 
-// limits returns the gate's limits for a target.
-func limits(t *spec.Target) gate.Limits {
+const (
+	// queueMemory is the part of the process's memory that is for queued requests, as a divisor.
+	queueMemory = 2
+	// queues is the number of parts of the queue, each of which has a limit of its own.
+	queues = 2
+	// offerBytes is the largest size in bytes of a queued request: its body, the buffer that it was received
+	// in, and its stream.
+	offerBytes = 2*link.MaxInlineBody + 32<<10
+)
+
+// limits returns the gate's limits for the target that the settings name. The queue is as
+// long as the memory allows.
+func limits(s *spec.Settings) gate.Limits {
+	t, n := s.Target, int(s.Target.Queue)
+	if m := int(s.MemoryMib) << 20; m > 0 {
+		n = min(n, max(1, m/queueMemory/queues/offerBytes))
+	}
 	return gate.Limits{
 		Batch:       int(t.Batch),
 		BatchTokens: int(t.BatchTokens),
-		Queue:       int(t.Queue),
+		Queue:       n,
 		IDs:         idLimit,
 		IDLifetime:  call.IDLifetime + idSlack,
 		ShedHold:    shedHold,
