--- a/io/entry/api.go
+++ b/io/entry/api.go
@@ -204,7 +204,7 @@
 	defer r.body.Release()
 	text, err := r.body.Join(r.bodyRank())
 	if err != nil {
-		return bodyFault(err, k)
+		return r.bodyFault(err)
 	}
 	var c chatRequest
 	if err := json.Unmarshal(text, &c); err != nil {
--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 
+	"kingcupstand/core/call"
 	"kingcupstand/core/conf"
 	"kingcupstand/core/memory"
 	"kingcupstand/io/intake"
@@ -17,11 +18,20 @@
 	t := intake.Terms{Rank: r.bodyRank(), Limit: bodyLimit(r.contract), Deadline: r.deadline}
 	var err error
 	if r.body, err = r.entry.intake.Read(r.writer, q, t); err != nil {
-		return bodyFault(err, r.contract)
+		return r.bodyFault(err)
 	}
 	return nil
 }
 
+// bodyFault is the function bodyFault for a request whose id, if it has one, may have been submitted before.
+func (r *request) bodyFault(err error) *fault {
+	f := bodyFault(err, r.contract)
+	if r.hasID {
+		f.Ran, f.RequestID = call.RanUnknown.String(), string(r.id)
+	}
+	return f
+}
+
 // bodyRank returns the rank of the request's body in the account of memory.
 func (r *request) bodyRank() int { return int(r.routing.Rank) - 1 }
 
