--- a/core/memory/bodies.go
+++ b/core/memory/bodies.go
@@ -12,6 +12,9 @@
 	// slow.
 	slowTime  = time.Second
 	slowBytes = 16 << 10
+	// scanInterval is the least time between two searches for slow bodies, as many bodies may find no room at
+	// once. Each search makes room for one of them.
+	scanInterval = 10 * time.Millisecond
 )
 
 // Intake holds the bodies that are being received. A body that its caller doesn't go on sending is slow. It
@@ -22,6 +25,8 @@
 	account *Account
 	mu      sync.Mutex
 	open    map[*Body]struct{}
+	// nextScan is the earliest time of the next search for slow bodies.
+	nextScan time.Duration
 }
 
 // NewIntake returns an Intake without bodies, which holds their memory in an account.
@@ -102,6 +107,10 @@
 // makeRoom gives slow bodies up until they hold n bytes together, with those that were given up before and
 // still hold theirs.
 func (s *Intake) makeRoom(now time.Duration, n int64) {
+	if now < s.nextScan {
+		return
+	}
+	s.nextScan = now + scanInterval
 	for b := range s.open {
 		if b.evicted {
 			n -= b.held
