--- a/io/intake/intake.go
+++ b/io/intake/intake.go
@@ -11,7 +11,7 @@
 //	go i.Run(ctx)
 //
 //	// In a handler:
-//	b, err := i.Read(ctx, w, r, intake.Terms{Rank: 1, Limit: 4 << 20, Deadline: deadline})
+//	b, err := i.Read(w, r, intake.Terms{Rank: 1, Limit: 4 << 20, Deadline: deadline})
 //	if err != nil {
 //		finish := intake.Refuse(w, r, err)
 //		w.WriteHeader(http.StatusServiceUnavailable)
