--- a/internal/stand/replica.go
+++ b/internal/stand/replica.go
@@ -47,7 +47,7 @@
 	// Events is the number of events in a streamed response. If 0, responses are
 	// plain.
 	Events int
-	// Delay is the time before each event, or before a plain response.
+	// Delay is the time before each event, or before a plain response. SetDelay changes it once requests arrive.
 	Delay time.Duration
 	// Version is the version of the replica's software, which the store lists. Streams of
 	// different versions differ. If empty, it is listed as DefaultVersion.
@@ -140,6 +140,19 @@
 	}
 }
 
+// SetDelay sets Delay while requests are running.
+func (r *Replica) SetDelay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Delay = d
+}
+
+func (r *Replica) delay() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Delay
+}
+
 // ShareFaults makes o share the faults of r: the next request at either replica takes the
 // next fault. It must be called before any requests.
 func (r *Replica) ShareFaults(o *Replica) { o.faults = r.faults }
@@ -306,7 +319,7 @@
 		defer r.beginRun(id)()
 		return r.stream(c, q, f, head)
 	}
-	time.Sleep(r.Delay)
+	time.Sleep(r.delay())
 	b := PlainBody(r.ID, q)
 	if f.unframed() {
 		unframedPlain(c, b, f, head)
@@ -354,7 +367,7 @@
 		return false
 	}
 	for n := from + 1; n <= r.Events; n++ {
-		time.Sleep(r.Delay)
+		time.Sleep(r.delay())
 		r.pauseAt(f, n-from)
 		t := VersionEventText(r.Version, n)
 		if f == TruncateStream && n == from+3 {
