--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -12,18 +12,20 @@
 const (
 	// calm is how long requests are served before the replicas crash, down how long these are gone, recovery the
 	// users' recover_s, and judged the time after that in which requests are counted.
-	calm     = 6 * time.Second
+	calm     = 6800 * time.Millisecond
 	down     = 2 * time.Second
 	recovery = 12 * time.Second
 	judged   = 12 * time.Second
-	// interval is the time between two requests.
-	interval = 25 * time.Millisecond
+	// Requests come in waves of the size wave, interval apart. Pace is the time between two events of an answer.
+	wave     = 16
+	interval = 2 * time.Second
+	pace     = 400 * time.Millisecond
 )
 
 // runShared checks that requests are served again after all replicas of a service have crashed at once. All prompts
 // begin with the same part.
 func runShared(s *system, trouble bool) (bool, error) {
-	if err := s.start(&replica{events: 64, short: 4, gap: 100 * time.Millisecond}, 12, 4, "1.0"); err != nil {
+	if err := s.start(&replica{events: 64, short: 4, gap: pace}, 12, 4, "1.0"); err != nil {
 		return false, err
 	}
 	var g sync.WaitGroup
@@ -32,17 +34,17 @@
 	var before, later count
 	began := time.Now()
 	if trouble {
-		for _, r := range s.replicas {
-			time.AfterFunc(calm, func() {
-				s.record.note("%s crashes", r.id)
+		time.AfterFunc(calm, func() {
+			for _, r := range s.replicas {
 				r.crash(down)
-			})
-		}
+			}
+			s.record.note("all replicas have crashed")
+		})
 	}
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for i := 0; time.Since(began) < calm+down+recovery+judged; i++ {
-		<-t.C
+	for i := 0; i < wave*int((calm+down+recovery+judged)/interval); i++ {
+		if i%wave == 0 {
+			time.Sleep(time.Until(began.Add(time.Duration(i/wave) * interval)))
+		}
 		sent := time.Since(began)
 		g.Go(func() {
 			f := s.fronts[i%len(s.fronts)]
@@ -130,8 +132,8 @@
 // Times of the case "refused".
 const (
 	// cut is how long each replica is cut off, and pause the time between two cuts.
-	cut   = 3 * time.Second
-	pause = time.Second
+	cut   = 4 * time.Second
+	pause = 500 * time.Millisecond
 	// healed is the time without trouble between the last cut and the streams that are counted.
 	healed = 8 * time.Second
 )
@@ -139,7 +141,7 @@
 // runRefused checks that streams are taken up again after each replica has been cut off for a while, one after the
 // other. The processes of the replicas run on.
 func runRefused(s *system, trouble bool) (bool, error) {
-	if err := s.start(&replica{events: 30, short: 4, gap: 100 * time.Millisecond}, 6, 4, "1.0"); err != nil {
+	if err := s.start(&replica{events: 30, short: 4, gap: 100 * time.Millisecond}, 7, 4, "1.0"); err != nil {
 		return false, err
 	}
 	var g sync.WaitGroup
@@ -157,14 +159,14 @@
 		s.record.note("%s is reached again", r.id)
 		time.Sleep(pause)
 	}
-	time.Sleep(healed - longLimit/5)
+	time.Sleep(healed - shortLimit)
 	close(stop)
 	g.Wait()
-	time.Sleep(longLimit / 5)
+	time.Sleep(shortLimit)
 	return s.breakStreams(48, 700*time.Millisecond, true), nil
 }
 
-// load sends streams to all fronts until stop is closed.
+// load sends short streams to all fronts until stop is closed.
 func (s *system) load(stop <-chan struct{}) {
 	var g sync.WaitGroup
 	defer g.Wait()
@@ -172,11 +174,11 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(80 * time.Millisecond):
+		case <-time.After(20 * time.Millisecond):
 		}
 		g.Go(func() {
 			f := s.fronts[i%len(s.fronts)]
-			a := call(f.callers(), http.MethodPost, longPrefix+"load", newAttempt(), longLimit, gapLimit)
+			a := call(f.callers(), http.MethodPost, shortPrefix+"load", newAttempt(), shortLimit, gapLimit)
 			s.record.note("load at %s: status %d, %d events, whole %v %s", f.name, a.status, len(a.events), a.complete, a.refusal())
 		})
 	}
@@ -185,7 +187,7 @@
 // runStride checks that streams are taken up again after a front was killed. The ids of events rise by the number
 // of their tokens, and no stream of the route has ended yet.
 func runStride(s *system, trouble bool) (bool, error) {
-	if err := s.start(&replica{events: 64, short: 4, gap: 100 * time.Millisecond, stride: 6}, 6, 4, "1.0"); err != nil {
+	if err := s.start(&replica{events: 64, short: 4, gap: 100 * time.Millisecond, stride: 6}, 8, 4, "1.0"); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * time.Second) // all fronts are in touch
