--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -1,8 +1,8 @@
 // Command stand2 runs the cases of the second review: each starts fronts as processes before stand-ins of the
 // platform's store, of replicas and of requesters, brings about a disruption and checks a rule.
 //
-// It exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run. With TROUBLE=0 in the
-// environment the disruption is left out.
+// It exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run. If the last argument is 0,
+// the disruption is left out.
 package main
 
 import (
@@ -38,8 +38,8 @@
 
 // run runs the case that the first argument names and writes record.txt to the folder that the second one names.
 func run() int {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand2 CASE FOLDER")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: stand2 CASE FOLDER TROUBLE")
 		return exitNotRun
 	}
 	file, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
@@ -49,7 +49,8 @@
 	}
 	defer file.Close()
 	r := &record{file: file, began: time.Now()}
-	trouble := os.Getenv("TROUBLE") != "0"
+	trouble := os.Args[3] != "0"
+	r.note("case %s, with the disruption: %v", os.Args[1], trouble)
 	s, err := newSystem(r, frontBinary)
 	if err != nil {
 		r.note("not run: %v", err)
--- a/review/stand2/story.go
+++ b/review/stand2/story.go
@@ -13,8 +13,8 @@
 	longPrefix, shortPrefix = "/replan/", "/sort/"
 	// longLimit and shortLimit are the time limits of their requesters.
 	longLimit, shortLimit = 15 * time.Second, 3 * time.Second
-	// tries is how often a requester sends a stream, with the first attempt.
-	tries = 4
+	// tries is how often a requester sends a stream, with the first attempt: the sheet has one retry.
+	tries = 2
 )
 
 // configuration is that of a small deployment with one service of model replicas.
