--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -74,7 +74,7 @@
 // Times of the case "version".
 const (
 	// outage is how long the store is silent, and dark how long the replica's host has no power.
-	outage = 6300 * time.Millisecond
+	outage = 4500 * time.Millisecond
 	dark   = 2 * time.Second
 )
 
